--- /dev/null
+++ b/driftshed/__init__.py
@@ -0,0 +1,1 @@
+"""driftshed tells forwarders where work goes."""
--- /dev/null
+++ b/driftshed/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the wire and the decisions module."""
--- /dev/null
+++ b/driftshed/adapter/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m driftshed.adapter`: the wire on standard input and output."""
+
+import sys
+
+from driftshed.adapter.loop import serve
+
+sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr))
--- /dev/null
+++ b/tests/test_design.py
@@ -0,0 +1,54 @@
+"""What the design page says of the ordinary path."""
+
+from driftshed import interface as face
+from driftshed.brain import BUDGET, BUDGET_SPAN, ENTRY_PART, LASTING, OUT_FOR
+from tests.helpers import World, server
+
+
+def calm(world: World, sick=(), **symptom) -> None:
+    for name in [name for name, (state, _) in world.states.items() if state == face.READY]:
+        world.hear(name, **(symptom if name in sick else {}))
+
+
+def withdrawals(world: World) -> list:
+    return [(at, order.server) for at, order in world.log if isinstance(order, face.Withdraw) and order.on]
+
+
+def test_lasting_complaints_of_two_zones_withdraw_and_the_server_returns_in_steps():
+    world, sick = World(), {server(3)}
+    world.run(4, calm)
+    world.run(LASTING - 1, lambda w: calm(w, sick, errored=5))
+    assert world.sends(server(3))
+    world.run(3, lambda w: calm(w, sick, errored=5))
+    assert not world.sends(server(3))
+    world.run(OUT_FOR - 3, calm)
+    assert not world.sends(server(3))
+    world.run(4, calm)
+    assert 0 < world.share(server(3)) <= 4 * ENTRY_PART / 8
+    world.run(10, calm)
+    assert world.share(server(3)) > 0.08
+
+
+def test_one_zone_alone_never_withdraws_and_latency_counts_against_the_baseline():
+    world = World()
+    world.run(4, calm)
+    world.run(20, lambda w: (calm(w), w.hear(server(1), errored=10, zones=(1,)))[0])
+    assert not withdrawals(world)
+    world.run(10, lambda w: calm(w, {server(2)}, latency=0.35))
+    assert [name for _, name in withdrawals(world)] == [server(2)]
+
+
+def test_caps_hold_when_all_fail():
+    world = World(servers=5)
+    world.run(60, lambda w: calm(w, set(w.states), errored=10, latency=None))
+    times = [at for at, _ in withdrawals(world)]
+    assert times and len(world.out) <= 1
+    assert all(sum(at <= other < at + BUDGET_SPAN for other in times) <= BUDGET for at in times)
+
+
+def test_weights_follow_latency_within_half_to_double_and_only_changes_are_sent():
+    world = World()
+    world.run(60, lambda w: calm(w, {server(0)}, latency=0.15))
+    assert 0.5 <= world.table[server(0)] / world.table[server(1)] <= 0.6
+    lines = [order.server for _, order in world.log if isinstance(order, face.SetLine)]
+    assert lines.count(server(1)) == 1 and 4 <= lines.count(server(0)) <= 8
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,138 @@
+"""The five rules: the plain model beside the module on generated days, and one small test a guard."""
+
+from random import Random
+
+import pytest
+
+from driftshed import interface as face
+from tests.helpers import World, server
+
+PROVES_SAFE = {"idempotent": 3, "fingerprinted": 2, "side-effecting": 1}
+
+
+class Judge:
+    """The rules, told plainly. It knows the day and what was ordered, and nothing of the module."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.since = world, {}
+
+    def lasts(self, rule: str, subject, bad: bool) -> float:
+        """For how long it has been bad by now."""
+        if not bad:
+            self.since.pop((rule, subject), None)
+        return self.world.now - self.since.setdefault((rule, subject), self.world.now) if bad else 0.0
+
+    def look(self, world: World) -> None:
+        facts, slow = world.facts, world.facts.lines_per_second / world.pace
+        ready = {name: started for name, (state, started) in world.states.items() if state == face.READY}
+        age = {name: world.now - started if started else facts.warm_within for name, started in ready.items()}
+        warm = any(span >= facts.warm_within for span in age.values())
+        for proxy, at in world.bound.items():
+            bare = self.lasts("bare", proxy, warm and (at is None or not any(map(world.sends, world.states))))
+            assert bare <= facts.bare_for * slow - facts.worst_transit, "rule 1"
+            span = [t for t in world.written[proxy] if t > world.now - facts.message_span]
+            assert len(span) <= facts.message_cap, "rule 5: messages"
+        for _, order in world.log:
+            if isinstance(order, face.SetLevel):
+                named = [op for k, op in enumerate(facts.operations) if order.operations >> k & 1]
+                assert named and all(order.tries <= PROVES_SAFE[op.effect] for op in named), "rule 2"
+        for name in world.states:
+            sent = self.lasts("drain", name, name not in ready and world.sends(name))
+            assert sent <= (facts.drain_grace - facts.worst_transit) * slow, "rule 3"
+            if warm and age.get(name, facts.warm_within) < facts.warm_within and world.sends(name):
+                grown = facts.cold_share + (1 - facts.cold_share) * age[name] / facts.warm_within
+                brought = 0.9 * world.share(name) * len(ready)  # traffic that nearly fills what is there
+                pushed = self.lasts("cold", name, brought > facts.tip_multiple * grown)
+                assert pushed <= facts.tip_span / 2, "rule 4"
+        assert sum(message[0] for message in world.queue) <= facts.queue_cap, "rule 5: queue"
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_the_module_agrees_with_the_plain_model(seed):
+    world, chance = World(servers=10, proxies=6, seed=seed), Random(seed)
+    judge, spare = Judge(world), iter(range(50, 200))
+
+    def some_trouble(w: World) -> None:
+        up = [name for name, (state, _) in w.states.items() if state == face.READY]
+        luck = chance.random()
+        if luck < 0.02 and len(up) > 5:
+            w.list(chance.choice(up), chance.choice([face.DRAINING, face.GONE]))
+        elif luck < 0.04:
+            w.list(server(next(spare)), face.READY, w.now - chance.random())
+        elif luck < 0.06:
+            w.list(chance.choice(sorted(w.states)), face.READY, w.now - chance.random())
+        elif luck < 0.065 and len(up) > 6:
+            for name in up[: len(up) // 3]:
+                w.list(name, face.GONE)
+        elif luck < 0.09:
+            proxy = chance.randrange(6)
+            w.news.append(face.Left(proxy) if proxy in w.bound else face.Joined(proxy % 2, False, proxy, 3.0))
+        elif luck < 0.1:
+            w.pace = w.facts.lines_per_second / chance.choice([1, 1, 2, 5])
+        for name in up:
+            if chance.random() < 0.5:
+                errored = chance.choice([0, 0, 0, 3, 10])
+                w.hear(name, chance.choice([0.05, 0.1, 0.1, 0.4, 900.0, None]), errored, chance.choice([0, 1, 10]))
+
+    world.run(120, some_trouble, check=judge.look)
+
+
+def test_a_drained_server_loses_its_line_at_once_even_while_answers_are_awaited():
+    world = World()
+    world.answers = False
+    world.run(1)
+    for number, state in enumerate((face.DRAINING, face.GONE)):
+        world.list(server(number), state)
+        world.run(0.5)
+        assert not world.sends(server(number))
+
+
+def test_a_server_missing_from_a_whole_list_is_gone():
+    world = World()
+    del world.states[server(4)]
+    world.news.append(face.Listing(2, face.FULL, tuple(map(world.entry, world.states))))
+    world.run(0.5)
+    assert not world.sends(server(4))
+
+
+def test_a_restart_between_two_lists_is_a_cold_server():
+    world = World()
+    world.run(1)
+    world.list(server(2), face.READY, world.now - 0.5)
+    world.run(1)
+    assert 0 < world.share(server(2)) < 0.03
+    world.run(25)
+    assert world.share(server(2)) > 0.1
+
+
+def test_ordinary_changes_wait_for_answers_and_a_lost_answer_does_not_stall_them_for_ever():
+    world = World()
+    world.answers = False
+    world.run(30, lambda w: [w.hear(server(n), 0.1 + n / 50) for n in range(9)])
+    assert not [at for at, order in world.log if at > 101 and isinstance(order, face.SetLine) and at < 112]
+    assert [at for at, order in world.log if at > 112 and isinstance(order, face.SetLine)]
+
+
+def test_a_proxy_that_comes_again_is_put_on_the_table_at_once():
+    world = World()
+    world.news += [face.Left(1), face.Joined(1, False, 1, 4.0)]
+    assert face.UseTable(0, 0, 1) in world.turn()
+
+
+def test_asking_for_the_list_again_after_a_failure():
+    world = World(extra="registryMode=on_request\n")
+    assert face.Subscribe(True) in [order for _, order in world.log]
+    world.news.append(face.Listing(1, face.FAILED, ()))
+    asked = world.now
+    world.run(2)
+    again = [at for at, order in world.log if isinstance(order, face.Subscribe) and at > asked]
+    assert again and world.brain.ask_again * 0.2 <= again[0] - asked < world.facts.ask_within / 4
+
+
+def test_the_same_events_bring_the_same_orders():
+    def day() -> list:
+        world = World(extra="registryMode=on_request\n", seed=5)
+        world.run(20, lambda w: w.hear(server(1), 0.3, 4))
+        return world.log
+
+    assert day() == day()
