A zone complains only of what tops its own fleet's median too

Also catches a slow thing behind all servers; harms when half of a fleet fails together, which then names nobody.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -75,6 +75,7 @@
         self.baseline: list[list[float | None]] = [[] for _ in zones]
         self.since: list[list[float | None]] = [[] for _ in zones]
         self.renewed: list[list[float]] = [[] for _ in zones]
+        self.view: list[list[tuple]] = [[] for _ in zones]  # judged when, times the usual, erred share
         self.zone_heard = [LONG_AGO for _ in zones]
         # Proxies: when each was written to, those still to be put on the table, answers still to come.
         self.sent_at: dict[int, deque] = {}
@@ -145,6 +146,7 @@
                 self.baseline[zone].append(None)
                 self.since[zone].append(None)
                 self.renewed[zone].append(LONG_AGO)
+                self.view[zone].append((LONG_AGO, 0.0, 0.0))
         i = self.place[entry.server]
         if entry.state == face.READY and (self.state[i] != face.READY or started > self.started[i]):
             self._enter(i, LONG_AGO if self.first_list else self.now)
@@ -201,15 +203,24 @@
         erred = sum(report[2] for report in reports) / tries
         median = weighted_median([(report[3], report[1] - report[2]) for report in reports if report[3]])
         usual = self.baseline[zone][i]
-        slow = median is not None and usual is not None and median > max(SLOW_OVER, SLOW_TIMES * usual)
-        if slow or erred > ERRED_SHARE:
+        slow = median / usual if median is not None and usual else 0.0
+        self.view[zone][i] = (self.now, slow, erred)
+        # Guards against naming the noisiest in a fleet-wide trouble (overload, something slow behind all): what
+        # a zone meets at most of its servers names none. It would miss half of a fleet that fails together.
+        views = [view for view in self.view[zone] if view[0] > self.now - VIEW]
+        fleet_slow = max(1.0, weighted_median([(view[1], 1) for view in views]))
+        fleet_erred = weighted_median([(view[2], 1) for view in views])
+        is_slow = median is not None and median > SLOW_OVER and slow > SLOW_TIMES
+        errs = erred > max(ERRED_SHARE, SLOW_TIMES * fleet_erred)
+        if (is_slow and slow > SLOW_TIMES * fleet_slow) or errs:
             if self.since[zone][i] is None:
                 self.since[zone][i] = self.now
             self.renewed[zone][i] = self.now
-            return  # and the baseline stays: a lasting slowness never becomes usual
+            return
         self.since[zone][i] = None
-        if median is not None:
-            share = reports[-1][1] and min(1.0, self.tick / BASELINE_OVER)
+        if median is not None and not is_slow and erred <= ERRED_SHARE:
+            # While it is slow or errs the baseline stays: a lasting slowness never becomes usual.
+            share = min(1.0, self.tick / BASELINE_OVER)
             self.baseline[zone][i] = median if usual is None else usual + share * (median - usual)
 
     # ---- what is wanted
