--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -205,7 +205,7 @@
         usual = self.baseline[zone][i]
         slow = median / usual if median is not None and usual else 0.0
         self.view[zone][i] = (self.now, slow, erred)
-        # Guards against naming the noisiest in a fleet-wide trouble (overload, something slow behind all): what
+        # Guards against naming the noisiest in a fleet-wide trouble (overload, a slow thing behind all): what
         # a zone meets at most of its servers names none. It would miss half of a fleet that fails together.
         views = [view for view in self.view[zone] if view[0] > self.now - VIEW]
         fleet_slow = max(1.0, weighted_median([(view[1], 1) for view in views]))
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -42,7 +42,11 @@
     for servers, most in ((9, 2), (5, 1)):
         world, outs = World(servers=servers), []
         sick = {server(n) for n in range((servers - 1) // 2)}
-        world.run(60, lambda w, sick=sick: calm(w, sick, errored=10, latency=None), lambda w: outs.append(len(w.out)))
+        world.run(
+            60,
+            lambda w, sick=sick: calm(w, sick, errored=10, latency=None),
+            lambda w, outs=outs: outs.append(len(w.out)),
+        )
         times = [at for at, _ in withdrawals(world)]
         assert max(outs) == most
         assert all(sum(at <= other < at + BUDGET_SPAN for other in times) <= BUDGET for at in times)
