--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -11,7 +11,8 @@
  2. Cold servers: no more weight than the capacity that a started server is sure to have by now.
  3. Never bare: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go one marked round at a time; room is kept for urgent ones.
- 5. Tries: one further try for every operation, after proof that the first never ran.
+ 5. Tries and levels: while the fleet's median server is short of time, further tries are cut first, then what is
+    let in, operations of the least billed value per unit of work first.
 """
 
 from collections import deque
@@ -34,6 +35,10 @@
 
 # Ours.
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
+STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
+EASED = 2 / 3  # of that: no strain
+CUT, EASE, LEAST_LET_IN = 0.3, 0.05, 0.1  # of what is let in, at a time
+CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is for the urgent
@@ -55,7 +60,11 @@
         self.gap = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
         self.patience = 4 * facts.worst_transit + 8 * facts.queue_cap / facts.lines_per_second
         self.tick = facts.report_period / 2
-        self.tries = [face.ONE_AFTER_PROOF for _ in facts.operations]
+        self.objectives = [operation.latency_objective for operation in facts.operations]
+        value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
+        self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
+        self.levels_by = facts.level_form
+        self.control_every = facts.report_period + 2 * facts.worst_transit
         self.weighs = facts.listed_weights != "off"
         zones = range(len(facts.zones))
         # Servers: parallel arrays under a dense index.
@@ -83,7 +92,13 @@
         self.unanswered: dict[int, int] = {}
         self.channel: deque[tuple[int, int, float]] = deque()  # mark, lines, when: may still wait there
         self.marks = 0
-        self.present_tries: list[int | None] = [None] * len(self.tries)
+        # Load: what the servers met since it was last looked at, what comes to each proxy, and what is let in.
+        self.strain: list[list[float]] = []
+        self.mix = [1.0 for _ in self.objectives]
+        self.demand: dict[int, list[float]] = {}
+        self.let_in, self.tries = 2.0, face.ONE_AFTER_PROOF  # 2: all; to 1: less of the cheap; below: of the rest
+        self.next_control = now + self.control_every
+        self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
         self.spent: deque[float] = deque()  # withdrawals of late
         self.next_solve = now + SOLVE_EVERY
         self.next_urgent = LONG_AGO
@@ -109,6 +124,9 @@
             self.next_tick = now + self.tick
             self.orders.append(face.SetTimer(0, self.next_tick))
             self._judge()
+            if now >= self.next_control:
+                self.next_control = now + self.control_every
+                self._control()
             if now >= self.next_solve:
                 self.next_solve = now + SOLVE_EVERY
                 self._solve()
@@ -141,6 +159,7 @@
             ):  # fmt: skip
                 array.append(value)
             self.met.append([0.0, 0.0])
+            self.strain.append([0.0, 0.0])
             for zone in range(len(self.reports)):
                 self.reports[zone].append(deque())
                 self.baseline[zone].append(None)
@@ -170,7 +189,7 @@
 
     def _hear_left(self, left: face.Left) -> None:
         """A proxy that has left is owed nothing and owes no answer."""
-        for known in (self.sent_at, self.unbound, self.unanswered):
+        for known in (self.sent_at, self.unbound, self.unanswered, self.demand):
             known.pop(left.proxy, None)
 
     def _hear_applied(self, applied: face.Applied) -> None:
@@ -190,6 +209,8 @@
         if heard.latency and good:
             self.met[i][0] += good
             self.met[i][1] += good * heard.latency
+        self.strain[i][0] += heard.tries
+        self.strain[i][1] += good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
         reports = self.reports[heard.zone][i]
         reports.append((self.now, heard.tries, heard.tries - good, heard.latency))
         while reports[0][0] < self.now - VIEW:
@@ -223,6 +244,16 @@
             share = min(1.0, self.tick / BASELINE_OVER)
             self.baseline[zone][i] = median if usual is None else usual + share * (median - usual)
 
+    def _hear_demand(self, demand: face.Demand) -> None:
+        if demand.proxy in self.sent_at and demand.window > 0 and demand.operation < len(self.mix):
+            rates = self.demand.setdefault(demand.proxy, [0.0 for _ in self.mix])
+            rates[demand.operation] += (demand.arrived / demand.window - rates[demand.operation]) / 2
+            self.mix[demand.operation] = 0.99 * self.mix[demand.operation] + 0.01 * demand.arrived
+
+    def _objective(self) -> float:
+        """The latency objective of the mean invocation."""
+        return sum(a * b for a, b in zip(self.objectives, self.mix, strict=True)) / sum(self.mix)
+
     # ---- what is wanted
 
     def _warm(self, i: int) -> bool:
@@ -271,6 +302,40 @@
             step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, median / latency[i]))
             self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] * step))
 
+    def _control(self) -> None:
+        """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats.
+
+        The median server tells, an errored try counting as one that took its whole objective, so that single sick
+        servers move nothing. It also answers a slow thing behind all servers, and harms where that would pass by
+        itself. With few servers left it is what keeps the cold ones from being pushed over.
+        """
+        took = weighted_median([(total / tries, tries) for tries, total in self.strain if tries])
+        self.strain = [[0.0, 0.0] for _ in self.ids]
+        if took is None:
+            return
+        pressure = took / (STRAINED * self._objective())
+        if pressure > 1:
+            if self.tries != face.NO_TRY:
+                self.tries = face.NO_TRY
+            elif self.levels_by != "off":
+                self.let_in = max(LEAST_LET_IN, self.let_in - CUT * min(1.0, pressure - 1 + EASE))
+        elif pressure < EASED:
+            if self.let_in < 2:
+                self.let_in = min(2.0, self.let_in + EASE)
+            else:
+                self.tries = face.ONE_AFTER_PROOF
+
+    def _wanted_valves(self) -> list[tuple[float, int]]:
+        valves = []
+        for k, cheap in enumerate(self.cheap):
+            part = max(LEAST_LET_IN, self.let_in - 1) if cheap else min(1.0, self.let_in)
+            level = self.all_in
+            if part < 1:
+                rates = sorted(rates[k] for rates in self.demand.values())
+                level = part if self.levels_by == "share" else fair_rate(rates, part)
+            valves.append((level, self.tries))
+        return valves
+
     def _wanted_lines(self) -> list[float]:
         """The weight that each server's line should have now; 0 for no line."""
         ready = [i for i in range(len(self.ids)) if self.state[i] == face.READY]
@@ -326,9 +391,10 @@
         ):
             # Guards against a moment without a server: what replaces the last lines goes with their end.
             urgent, ordinary = ordinary + urgent, []
-        for k, tries in enumerate(self.tries):
-            if self.present_tries[k] != tries:
-                ordinary.append(face.SetLevel(TABLE, self.all_in, 1 << k, tries))
+        for k, (level, tries) in enumerate(self._wanted_valves()):
+            present, how = self.valve[k] or (0.0, None)
+            if how != tries or abs(level - present) >= WORTH_SENDING * present:
+                ordinary.append(face.SetLevel(TABLE, level, 1 << k, tries))
         go: list = []
         if not proxies:
             go = ordinary + urgent  # nobody is told, so it costs nothing
@@ -343,7 +409,7 @@
             self._take(order)
         bound = [proxy for proxy in self.sent_at if proxy not in self.unbound] if go else []
         messages = {proxy: len(go) + self.head for proxy in bound}
-        size = 1 + sum(map(bool, self.line)) + sum(self.shut) + len(self.tries)
+        size = 1 + sum(map(bool, self.line)) + sum(self.shut) + len(self.valve)
         for proxy in list(self.unbound):
             if self._waiting() + sum(messages.values()) + size + self.head > self.cap:
                 break
@@ -366,7 +432,7 @@
         elif isinstance(order, face.Withdraw):
             self.shut[self.place[order.server]] = order.on
         else:
-            self.present_tries[order.operations.bit_length() - 1] = order.tries
+            self.valve[order.operations.bit_length() - 1] = (order.level, order.tries)
 
     def _waiting(self) -> float:
         return sum(lines for _, lines, _ in self.channel)
@@ -394,10 +460,21 @@
     return None
 
 
+def fair_rate(rates: list[float], part: float) -> float:
+    """The rate that lets this part of all in when no proxy may have more; the rates come in rising order."""
+    left = part * sum(rates)
+    for k, rate in enumerate(rates):
+        if rate * (len(rates) - k) >= left:
+            return left / (len(rates) - k)
+        left -= rate
+    return rates[-1] if rates else 0.0
+
+
 HEAR = {
     face.Listing: Brain._hear_listing,
     face.Joined: Brain._hear_joined,
     face.Left: Brain._hear_left,
     face.Applied: Brain._hear_applied,
     face.Heard: Brain._hear_heard,
+    face.Demand: Brain._hear_demand,
 }
