--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -11,8 +11,8 @@
  2. Cold servers: no more weight than the capacity that a started server is sure to have by now.
  3. Never bare: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go one marked round at a time; room is kept for urgent ones.
- 5. Tries and levels: while the fleet's median server is short of time, further tries are cut first, then what is
-    let in, operations of the least billed value per unit of work first.
+ 5. Tries and levels: while the fleet's median server is short of time, further tries are cut first, then what
+    is let in, operations of the least billed value per unit of work first.
 """
 
 from collections import deque
@@ -37,7 +37,7 @@
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
 EASED = 2 / 3  # of that: no strain
-CUT, EASE, LEAST_LET_IN = 0.3, 0.05, 0.1  # of what is let in, at a time
+HEADROOM, LARGEST_CUT, LEAST_LET_IN = 0.9, 0.6, 0.1  # what is let in: of what is answered, of before, of all
 CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
@@ -92,12 +92,13 @@
         self.unanswered: dict[int, int] = {}
         self.channel: deque[tuple[int, int, float]] = deque()  # mark, lines, when: may still wait there
         self.marks = 0
-        # Load: what the servers met since it was last looked at, what comes to each proxy, and what is let in.
-        self.strain: list[list[float]] = []
+        # Load: what the servers met since it was last looked at, what comes to each proxy, what is let in.
+        self.strain: list[list[float]] = []  # tries, good ones, time of all
         self.mix = [1.0 for _ in self.objectives]
         self.demand: dict[int, list[float]] = {}
-        self.let_in, self.tries = 2.0, face.ONE_AFTER_PROOF  # 2: all; to 1: less of the cheap; below: of the rest
-        self.next_control = now + self.control_every
+        self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
+        self.strain_from, self.next_control = now, now + self.control_every
+        self.valve_travels = False
         self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
         self.spent: deque[float] = deque()  # withdrawals of late
         self.next_solve = now + SOLVE_EVERY
@@ -124,8 +125,10 @@
             self.next_tick = now + self.tick
             self.orders.append(face.SetTimer(0, self.next_tick))
             self._judge()
-            if now >= self.next_control:
-                self.next_control = now + self.control_every
+            if self.valve_travels and not self.unanswered:
+                self.valve_travels = False  # what is heard from now on tells of the levels in force
+                self._look_afresh()
+            if now >= self.next_control and not self.valve_travels:
                 self._control()
             if now >= self.next_solve:
                 self.next_solve = now + SOLVE_EVERY
@@ -159,7 +162,7 @@
             ):  # fmt: skip
                 array.append(value)
             self.met.append([0.0, 0.0])
-            self.strain.append([0.0, 0.0])
+            self.strain.append([0.0, 0.0, 0.0])
             for zone in range(len(self.reports)):
                 self.reports[zone].append(deque())
                 self.baseline[zone].append(None)
@@ -210,7 +213,8 @@
             self.met[i][0] += good
             self.met[i][1] += good * heard.latency
         self.strain[i][0] += heard.tries
-        self.strain[i][1] += good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
+        self.strain[i][1] += good
+        self.strain[i][2] += good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
         reports = self.reports[heard.zone][i]
         reports.append((self.now, heard.tries, heard.tries - good, heard.latency))
         while reports[0][0] < self.now - VIEW:
@@ -305,34 +309,43 @@
     def _control(self) -> None:
         """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats.
 
-        The median server tells, an errored try counting as one that took its whole objective, so that single sick
-        servers move nothing. It also answers a slow thing behind all servers, and harms where that would pass by
-        itself. With few servers left it is what keeps the cold ones from being pushed over.
+        The median server tells, an errored try counting as one that took its whole objective, so that single
+        sick servers move nothing. It also answers a slow thing behind all servers, and harms where that would
+        pass by itself. With few servers left it is what keeps the cold ones from being pushed over.
         """
-        took = weighted_median([(total / tries, tries) for tries, total in self.strain if tries])
-        self.strain = [[0.0, 0.0] for _ in self.ids]
+        took = weighted_median([(total / tries, tries) for tries, _, total in self.strain if tries])
+        good, span = sum(good for _, good, _ in self.strain), self.now - self.strain_from
+        self._look_afresh()
         if took is None:
             return
         pressure = took / (STRAINED * self._objective())
-        if pressure > 1:
-            if self.tries != face.NO_TRY:
-                self.tries = face.NO_TRY
-            elif self.levels_by != "off":
-                self.let_in = max(LEAST_LET_IN, self.let_in - CUT * min(1.0, pressure - 1 + EASE))
+        if pressure > 1 and self.tries != face.NO_TRY:
+            self.tries = face.NO_TRY
+        elif pressure > 1 and self.levels_by != "off":
+            # What a strained fleet answers is what it can do: let in a little less than that, in few large steps.
+            answered = HEADROOM * good / span / max(1.0, sum(map(sum, self.demand.values())))
+            self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, answered, LEAST_LET_IN))
+        elif pressure < EASED and self.let_in < 1:
+            self.let_in = min(1.0, self.let_in / HEADROOM)
         elif pressure < EASED:
-            if self.let_in < 2:
-                self.let_in = min(2.0, self.let_in + EASE)
-            else:
-                self.tries = face.ONE_AFTER_PROOF
+            self.tries = face.ONE_AFTER_PROOF
+
+    def _look_afresh(self) -> None:
+        self.strain = [[0.0, 0.0, 0.0] for _ in self.ids]
+        self.strain_from, self.next_control = self.now, self.now + self.control_every
 
     def _wanted_valves(self) -> list[tuple[float, int]]:
         valves = []
-        for k, cheap in enumerate(self.cheap):
-            part = max(LEAST_LET_IN, self.let_in - 1) if cheap else min(1.0, self.let_in)
+        rates = [sorted(rates[k] for rates in self.demand.values()) for k in range(len(self.cheap))]
+        cheap = sum(sum(rates[k]) for k, is_cheap in enumerate(self.cheap) if is_cheap) or 1.0
+        dear = sum(map(sum, rates)) - cheap
+        cheap_part = max(LEAST_LET_IN, (self.let_in * (cheap + dear) - dear) / cheap)
+        dear_part = (self.let_in * (cheap + dear) - cheap_part * cheap) / dear if dear > 0 else 1.0
+        for k, is_cheap in enumerate(self.cheap):
+            part = min(1.0, cheap_part if is_cheap else max(LEAST_LET_IN, dear_part))
             level = self.all_in
-            if part < 1:
-                rates = sorted(rates[k] for rates in self.demand.values())
-                level = part if self.levels_by == "share" else fair_rate(rates, part)
+            if self.let_in < 1 and part < 1:
+                level = part if self.levels_by == "share" else fair_rate(rates[k], part)
             valves.append((level, self.tries))
         return valves
 
@@ -433,6 +446,7 @@
             self.shut[self.place[order.server]] = order.on
         else:
             self.valve[order.operations.bit_length() - 1] = (order.level, order.tries)
+            self.valve_travels = True
 
     def _waiting(self) -> float:
         return sum(lines for _, lines, _ in self.channel)
