--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -24,7 +24,7 @@
 TABLE = 0  # the one shared table
 
 # The design's values. Spans are seconds.
-SLOW_OVER, SLOW_TIMES, ERRED_SHARE = 0.050, 2.0, 0.10  # what a zone complains of
+SLOW_TIMES, ERRED_SHARE = 2.0, 0.10  # what a zone complains of
 LASTING, LAPSE = 6.0, 15.0  # a complaint counts from, and until this long after it was last heard
 ZONES_TO_AGREE, MOST_OUT, MOST_OUT_SHARE = 2, 2, 1 / 3
 BUDGET, BUDGET_SPAN = 5, 30.0  # withdrawals
@@ -34,6 +34,8 @@
 WORTH_SENDING = 0.1  # of the weight that stands
 
 # Ours.
+SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server is one whose answers come too late
+KEPT = 1 / 2  # of what was met, from one solve to the next
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
 EASED = 2 / 3  # of that: no strain
@@ -235,15 +237,15 @@
         views = [view for view in self.view[zone] if view[0] > self.now - VIEW]
         fleet_slow = max(1.0, weighted_median([(view[1], 1) for view in views]))
         fleet_erred = weighted_median([(view[2], 1) for view in views])
-        is_slow = median is not None and median > SLOW_OVER and slow > SLOW_TIMES
+        late = median is not None and median > SLOW_OVER * self._objective()
         errs = erred > max(ERRED_SHARE, SLOW_TIMES * fleet_erred)
-        if (is_slow and slow > SLOW_TIMES * fleet_slow) or errs:
+        if (late and slow > SLOW_TIMES * fleet_slow) or errs:
             if self.since[zone][i] is None:
                 self.since[zone][i] = self.now
             self.renewed[zone][i] = self.now
             return
         self.since[zone][i] = None
-        if median is not None and not is_slow and erred <= ERRED_SHARE:
+        if median is not None and slow <= SLOW_TIMES and erred <= ERRED_SHARE:
             # While it is slow or errs the baseline stays: a lasting slowness never becomes usual.
             share = min(1.0, self.tick / BASELINE_OVER)
             self.baseline[zone][i] = median if usual is None else usual + share * (median - usual)
@@ -297,7 +299,7 @@
     def _solve(self) -> None:
         """The companion: each weight one step toward equal latency."""
         latency = {i: total / tries for i, (tries, total) in enumerate(self.met) if tries >= TRIES_TO_JUDGE}
-        self.met = [[0.0, 0.0] for _ in self.ids]
+        self.met = [[tries * KEPT, total * KEPT] for tries, total in self.met]
         open_ones = [i for i in latency if self.state[i] == face.READY and self.out_at[i] is None]
         if not open_ones:
             return
