--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -25,7 +25,7 @@
 
 # The design's values. Spans are seconds.
 SLOW_TIMES, ERRED_SHARE = 2.0, 0.10  # what a zone complains of
-LASTING, LAPSE = 6.0, 15.0  # a complaint counts from, and until this long after it was last heard
+LASTING, LAPSE = 3.0, 15.0  # a complaint counts from, and until this long after it was last heard
 ZONES_TO_AGREE, MOST_OUT, MOST_OUT_SHARE = 2, 2, 1 / 3
 BUDGET, BUDGET_SPAN = 5, 30.0  # withdrawals
 OUT_FOR = 10.0
