--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -25,12 +25,12 @@
 
 # The design's values. Spans are seconds.
 SLOW_TIMES, ERRED_SHARE = 2.0, 0.10  # what a zone complains of
-LASTING, LAPSE = 3.0, 15.0  # a complaint counts from, and until this long after it was last heard
+LASTING, LAPSE = 6.0, 15.0  # a complaint counts from, and until this long after it was last heard
 ZONES_TO_AGREE, MOST_OUT, MOST_OUT_SHARE = 2, 2, 1 / 3
 BUDGET, BUDGET_SPAN = 5, 30.0  # withdrawals
 OUT_FOR = 10.0
 ENTRY_PART, ENTRY_STEP = 0.1, 2.0  # of the average weight, doubling every step
-SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR = 3.0, 0.2, 0.5, 2.0
+SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR = 1.0, 0.2, 0.5, 2.0
 WORTH_SENDING = 0.1  # of the weight that stands
 
 # Ours.
@@ -288,7 +288,11 @@
                 continue
             self.out_at[i] = self.now
             self.spent.append(self.now)
-            self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out"))
+            said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} errored" for _, slow, erred in self._views_of(i))
+            self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
+
+    def _views_of(self, i: int) -> list[tuple[float, float, float]]:
+        return [view[i] for view in self.view if view[i][0] > self.now - LAPSE]
 
     def _names(self, zone: int, i: int) -> bool:
         since = self.since[zone][i]
