--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -30,11 +30,12 @@
 BUDGET, BUDGET_SPAN = 5, 30.0  # withdrawals
 OUT_FOR = 10.0
 ENTRY_PART, ENTRY_STEP = 0.1, 2.0  # of the average weight, doubling every step
-SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR = 1.0, 0.2, 0.5, 2.0
+SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR = 3.0, 0.2, 0.5, 2.0
 WORTH_SENDING = 0.1  # of the weight that stands
 
 # Ours.
 SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server is one whose answers come too late
+DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
 KEPT = 1 / 2  # of what was met, from one solve to the next
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
@@ -309,7 +310,7 @@
             return
         median = weighted_median([(latency[i], 1) for i in open_ones])
         for i in open_ones:
-            step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, median / latency[i]))
+            step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, (median / latency[i]) ** DAMPED))
             self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] * step))
 
     def _control(self) -> None:
