--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -34,7 +34,8 @@
 WORTH_SENDING = 0.1  # of the weight that stands
 
 # Ours.
-SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server is one whose answers come too late
+SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
+SPARED = 1 / 4  # of the tip multiple: what a cold server may be asked for
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
 KEPT = 1 / 2  # of what was met, from one solve to the next
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
@@ -55,6 +56,7 @@
         self.asks = not facts.list_is_pushed
         self.ask_again = facts.ask_within / 8
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
+        self.tip_multiple = facts.tip_multiple
         self.head = facts.lines_per_message + 1  # and the mark
         self.cap = facts.queue_cap
         self.all_in = 1.0 if facts.level_form == "share" else float(2**30)  # a level that stops nothing
@@ -73,6 +75,7 @@
         # Servers: parallel arrays under a dense index.
         self.place: dict[bytes, int] = {}
         self.ids: list[bytes] = []
+        self.kind: list[int] = []
         self.state: list[int] = []
         self.started: list[float] = []
         self.listed: list[float] = []  # listed weight
@@ -156,7 +159,9 @@
 
     def _list(self, entry) -> None:
         started = LONG_AGO if entry.started is None else entry.started
-        if entry.server not in self.place:
+        new = entry.server not in self.place
+        if new:
+            self.kind.append(entry.kind)
             self.place[entry.server] = len(self.ids)
             self.ids.append(entry.server)
             for array, value in (
@@ -175,8 +180,11 @@
         i = self.place[entry.server]
         if entry.state == face.READY and (self.state[i] != face.READY or started > self.started[i]):
             self._enter(i, LONG_AGO if self.first_list else self.now)
-            if started > self.started[i]:
-                self.factor[i] = 1.0
+            if (started > self.started[i] or new) and not self.first_list:
+                # One that starts now begins with what its kind has learnt, not with an average part.
+                alike = (entry.kind, face.READY)
+                kin = [k for k, kind in enumerate(self.kind) if k != i and (kind, self.state[k]) == alike]
+                self.factor[i] = weighted_median([(self.factor[k], 1) for k in kin]) or 1.0
         self.state[i], self.started[i] = entry.state, max(started, self.started[i])
         if self.weighs and entry.weight > 0:
             self.listed[i] = entry.weight
@@ -289,7 +297,7 @@
                 continue
             self.out_at[i] = self.now
             self.spent.append(self.now)
-            said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} errored" for _, slow, erred in self._views_of(i))
+            said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} erred" for _, slow, erred in self._views_of(i))
             self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
 
     def _views_of(self, i: int) -> list[tuple[float, float, float]]:
@@ -329,7 +337,7 @@
         if pressure > 1 and self.tries != face.NO_TRY:
             self.tries = face.NO_TRY
         elif pressure > 1 and self.levels_by != "off":
-            # What a strained fleet answers is what it can do: let in a little less than that, in few large steps.
+            # What a strained fleet answers is what it can do: let in a little less, in few large steps.
             answered = HEADROOM * good / span / max(1.0, sum(map(sum, self.demand.values())))
             self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, answered, LEAST_LET_IN))
         elif pressure < EASED and self.let_in < 1:
@@ -371,14 +379,25 @@
             # over the few that are in, so then only what is sure of a cold one's capacity holds it back.
             if settled >= whole / 2:
                 weight = min(weight, entry * 2 ** steps[i])
+            wanted[i] = weight
+        # Guards against pushing a cold server over, and against queues at one that is half warm. What others
+        # fail to carry (a lost zone that is still listed, an overload) comes to it too, and again as repeats,
+        # so its part shrinks with what is seen to answer. Harm: a little capacity idles while servers warm.
+        answering = sum(wanted[i] * self._answered(i) for i in ready if self.out_at[i] is None)
+        spared = min(1.0, self.tip_multiple * SPARED * answering / whole) if whole else 1.0
+        for i in ready:
             age = (self.now - self.started[i]) // ENTRY_STEP * ENTRY_STEP
             if age < self.warm_within:
-                # Guards against pushing a cold server over, and against queues at one that is half warm.
                 grown = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
-                weight = min(weight, self.listed[i] * grown)
-            wanted[i] = weight
+                wanted[i] = min(wanted[i], self.listed[i] * grown * spared)
         return wanted
 
+    def _answered(self, i: int) -> float:
+        """The share of its tries that a server answered by what each zone heard last."""
+        last = [zone[i][-1] for zone in self.reports if zone[i] and zone[i][-1][0] > self.now - VIEW]
+        tries = sum(report[1] for report in last)
+        return 1 - sum(report[2] for report in last) / tries if tries else 1.0
+
     def _wanted_out(self) -> list[bool]:
         out = [at is not None and self.state[i] == face.READY for i, at in enumerate(self.out_at)]
         # Guards against a table without a server: with no other warm one, nobody is withdrawn for health.
@@ -400,7 +419,7 @@
         for i, weight in enumerate(lines):
             present = self.line[i]
             restarted = self.entered[i] == self.now or self.now - self.started[i] < self.warm_within
-            if present and (not weight or (restarted and weight < present / 2)):
+            if present and (not weight or (restarted and weight < present * (1 - SOLVE_STEP))):
                 urgent.append(face.SetLine(self.ids[i], weight, TABLE))
             elif weight and (not present or abs(weight - present) >= WORTH_SENDING * present):
                 ordinary.append(face.SetLine(self.ids[i], weight, TABLE))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -105,6 +105,23 @@
     assert world.share(server(2)) > 0.1
 
 
+def test_a_cold_server_is_spared_what_a_lost_half_of_the_fleet_no_longer_carries():
+    world = World()
+    world.list(server(2), face.READY, world.now)
+    world.run(8)
+    before, lost = world.share(server(2)), {server(n) for n in range(4, 9)}
+    world.run(1, lambda w: [w.hear(name, 0.1, 10 if name in lost else 0) for name in w.states])
+    assert world.share(server(2)) < before / 1.5
+
+
+def test_a_new_server_begins_with_the_factor_of_its_kind():
+    world = World()
+    world.run(40, lambda w: [w.hear(server(n), 0.4 if n < 5 else 0.1) for n in range(9)])
+    world.list(server(20), face.READY, world.now - 60)
+    world.run(20)
+    assert world.table[server(20)] == pytest.approx(min(world.table.values()), rel=0.1)
+
+
 def test_ordinary_changes_wait_for_answers_and_a_lost_answer_does_not_stall_them_for_ever():
     world = World()
     world.answers = False
