--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -41,7 +41,9 @@
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
 EASED = 2 / 3  # of that: no strain
-HEADROOM, LARGEST_CUT, LEAST_LET_IN = 0.9, 0.6, 0.1  # what is let in: of what is answered, of before, of all
+HEADROOM, LEAST_LET_IN = 0.9, 0.1  # what is let in at the most, of what is answered; at the least, of all
+LARGEST_CUT, LARGEST_RISE = 0.6, 1.2  # of what is let in, at a time
+SPARE_TRIES = 0.05  # beyond the first, of what comes
 CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
@@ -69,7 +71,7 @@
         value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
         self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
         self.levels_by = facts.level_form
-        self.control_every = facts.report_period + 2 * facts.worst_transit
+        self.control_every = facts.report_period + facts.worst_transit
         self.weighs = facts.listed_weights != "off"
         zones = range(len(facts.zones))
         # Servers: parallel arrays under a dense index.
@@ -329,19 +331,22 @@
         pass by itself. With few servers left it is what keeps the cold ones from being pushed over.
         """
         took = weighted_median([(total / tries, tries) for tries, _, total in self.strain if tries])
-        good, span = sum(good for _, good, _ in self.strain), self.now - self.strain_from
+        tries, good = sum(row[0] for row in self.strain), sum(row[1] for row in self.strain)
+        span, come = self.now - self.strain_from, max(1.0, sum(map(sum, self.demand.values())))
         self._look_afresh()
         if took is None:
-            return
+            return  # silence is neither strain nor ease
         pressure = took / (STRAINED * self._objective())
-        if pressure > 1 and self.tries != face.NO_TRY:
+        if pressure > 1:
+            # Cutting tries is known not to help where hardly any are made beyond the first.
+            spare = self.tries != face.NO_TRY and tries / span > (1 + SPARE_TRIES) * come
             self.tries = face.NO_TRY
-        elif pressure > 1 and self.levels_by != "off":
-            # What a strained fleet answers is what it can do: let in a little less, in few large steps.
-            answered = HEADROOM * good / span / max(1.0, sum(map(sum, self.demand.values())))
-            self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, answered, LEAST_LET_IN))
+            if not spare and self.levels_by != "off":
+                # What a strained fleet answers is what it can do: let in a little less, in few large steps.
+                answered = HEADROOM * good / span / come
+                self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, answered, LEAST_LET_IN))
         elif pressure < EASED and self.let_in < 1:
-            self.let_in = min(1.0, self.let_in / HEADROOM)
+            self.let_in = min(1.0, self.let_in * EASED / max(pressure, EASED / LARGEST_RISE))
         elif pressure < EASED:
             self.tries = face.ONE_AFTER_PROOF
 
