--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -153,3 +153,40 @@
         return world.log
 
     assert day() == day()
+
+
+def demand(world: World, each: float = 20.0) -> None:
+    world.news += [face.Demand(round(each * 0.25), p, 0.25, 0, op) for p in world.bound for op in range(3)]
+
+
+def valves(world: World) -> dict:
+    return {order.operations: order for _, order in world.log if isinstance(order, face.SetLevel)}
+
+
+@pytest.mark.parametrize("form", ["share", "rate"])
+def test_strain_cuts_tries_first_then_what_is_worth_least_and_eases_back(form):
+    world = World(extra=f"domain.admit={form}\n")
+
+    def strained(w: World, each: float) -> None:
+        demand(w, each)
+        for name in w.states:
+            w.hear(name, 0.6, 2)
+
+    world.run(2, demand)
+    assert {order.tries for order in valves(world).values()} == {face.ONE_AFTER_PROOF}
+    world.run(5, lambda w: strained(w, 30.0))  # half of the tries are further ones
+    cuts = [order for _, order in world.log if isinstance(order, face.SetLevel) and order.tries == face.NO_TRY]
+    assert cuts[0].level == world.brain.all_in
+    world.run(8, lambda w: strained(w, 100.0))  # and now too much comes
+    levels = valves(world)
+    assert levels[1].level < levels[2].level and levels[1].level < levels[4].level
+    world.run(40, lambda w: (demand(w), [w.hear(name, 0.05) for name in w.states])[0])
+    assert {(order.tries, order.level) for order in valves(world).values()} == {
+        (face.ONE_AFTER_PROOF, world.brain.all_in)
+    }
+
+
+def test_silence_is_neither_strain_nor_health():
+    world = World()
+    world.run(30)
+    assert {order.tries for order in valves(world).values()} == {face.ONE_AFTER_PROOF} and not world.out
