--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -174,12 +174,12 @@
 
     world.run(2, demand)
     assert {order.tries for order in valves(world).values()} == {face.ONE_AFTER_PROOF}
-    world.run(5, lambda w: strained(w, 30.0))  # half of the tries are further ones
+    world.run(5, lambda w: strained(w, 8.0))  # most of the tries are further ones
     cuts = [order for _, order in world.log if isinstance(order, face.SetLevel) and order.tries == face.NO_TRY]
     assert cuts[0].level == world.brain.all_in
     world.run(8, lambda w: strained(w, 100.0))  # and now too much comes
     levels = valves(world)
-    assert levels[1].level < levels[2].level and levels[1].level < levels[4].level
+    assert levels[1].level == levels[4].level < levels[2].level  # the two of like value are cut together
     world.run(40, lambda w: (demand(w), [w.hear(name, 0.05) for name in w.states])[0])
     assert {(order.tries, order.level) for order in valves(world).values()} == {
         (face.ONE_AFTER_PROOF, world.brain.all_in)
