--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -37,6 +37,7 @@
 SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
 SPARED = 1 / 4  # of the tip multiple: what a cold server may be asked for
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
+FAR_SHARE = 1 / 4  # of the servers that take a full step: the fleet is far from balance
 KEPT = 1 / 2  # of what was met, from one solve to the next
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
@@ -139,8 +140,7 @@
             if now >= self.next_control and not self.valve_travels:
                 self._control()
             if now >= self.next_solve:
-                self.next_solve = now + SOLVE_EVERY
-                self._solve()
+                self.next_solve = now + self._solve()
         self._reconcile()
         return self.orders
 
@@ -311,17 +311,21 @@
             self.since[zone][i] = since = None
         return since is not None and self.now - since >= LASTING
 
-    def _solve(self) -> None:
-        """The companion: each weight one step toward equal latency."""
+    def _solve(self) -> float:
+        """The companion: each weight one step toward equal latency; tells when to solve again."""
         latency = {i: total / tries for i, (tries, total) in enumerate(self.met) if tries >= TRIES_TO_JUDGE}
         self.met = [[tries * KEPT, total * KEPT] for tries, total in self.met]
         open_ones = [i for i in latency if self.state[i] == face.READY and self.out_at[i] is None]
         if not open_ones:
-            return
+            return SOLVE_EVERY
+        far = 0
         median = weighted_median([(latency[i], 1) for i in open_ones])
         for i in open_ones:
             step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, (median / latency[i]) ** DAMPED))
+            far += abs(step - 1) > 0.99 * SOLVE_STEP and LEAST_FACTOR < self.factor[i] < MOST_FACTOR
             self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] * step))
+        # Far from balance (unequal machines listed as equal, a server grown slow) there is nothing to overshoot yet.
+        return SOLVE_EVERY / (2 if far > FAR_SHARE * len(open_ones) else 1)
 
     def _control(self) -> None:
         """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats.
