In the solve an errored try adds a whole objective to what the answered ones took

Cause: the mean time is of good tries alone, so a hung server kept its weight, one that failed fast drew more, and a weak one whose answers come too late seemed well. Also covers silent failures of other kinds; harm: under an overload of all it adds nothing, as the median errs too.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -37,7 +37,6 @@
 SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
 SPARED = 1 / 4  # of the tip multiple: what a cold server may be asked for
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
-FAR_SHARE = 1 / 4  # of the servers that take a full step: the fleet is far from balance
 KEPT = 1 / 2  # of what was met, from one solve to the next
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
@@ -85,7 +84,7 @@
         self.factor: list[float] = []  # learnt, beside the listed weight
         self.entered: list[float] = []  # when its steps began
         self.out_at: list[float | None] = []  # withdrawn for health since
-        self.met: list[list[float]] = []  # tries with an answer and their time in all, since the last solve
+        self.met: list[list[float]] = []  # tries, good ones, time of all: fading from solve to solve
         self.line: list[float] = []  # present: weight of its line, 0 for none
         self.shut: list[bool] = []  # present: withdrawn
         # What each zone says of each server.
@@ -140,7 +139,8 @@
             if now >= self.next_control and not self.valve_travels:
                 self._control()
             if now >= self.next_solve:
-                self.next_solve = now + self._solve()
+                self.next_solve = now + SOLVE_EVERY
+                self._solve()
         self._reconcile()
         return self.orders
 
@@ -171,7 +171,7 @@
                 (self.entered, LONG_AGO), (self.out_at, None), (self.line, 0.0), (self.shut, False),
             ):  # fmt: skip
                 array.append(value)
-            self.met.append([0.0, 0.0])
+            self.met.append([0.0, 0.0, 0.0])
             self.strain.append([0.0, 0.0, 0.0])
             for zone in range(len(self.reports)):
                 self.reports[zone].append(deque())
@@ -222,12 +222,13 @@
             return
         self.zone_heard[heard.zone] = self.now
         good = heard.tries - min(heard.errored, heard.tries)
-        if heard.latency and good:
-            self.met[i][0] += good
-            self.met[i][1] += good * heard.latency
+        took = good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
+        self.met[i][0] += heard.tries
+        self.met[i][1] += good
+        self.met[i][2] += took
         self.strain[i][0] += heard.tries
         self.strain[i][1] += good
-        self.strain[i][2] += good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
+        self.strain[i][2] += took
         reports = self.reports[heard.zone][i]
         reports.append((self.now, heard.tries, heard.tries - good, heard.latency))
         while reports[0][0] < self.now - VIEW:
@@ -311,21 +312,23 @@
             self.since[zone][i] = since = None
         return since is not None and self.now - since >= LASTING
 
-    def _solve(self) -> float:
-        """The companion: each weight one step toward equal latency; tells when to solve again."""
-        latency = {i: total / tries for i, (tries, total) in enumerate(self.met) if tries >= TRIES_TO_JUDGE}
-        self.met = [[tries * KEPT, total * KEPT] for tries, total in self.met]
+    def _solve(self) -> None:
+        """The companion: each weight one step toward equal latency."""
+        # Guards against a server that keeps or draws work by failing: an errored try adds a whole objective
+        # to what the answered ones took. It also turns work from a weak server whose answers come too late.
+        latency = {
+            i: total / max(1.0, good)
+            for i, (tries, good, total) in enumerate(self.met)
+            if tries >= TRIES_TO_JUDGE and total > 0
+        }
+        self.met = [[part * KEPT for part in row] for row in self.met]
         open_ones = [i for i in latency if self.state[i] == face.READY and self.out_at[i] is None]
         if not open_ones:
-            return SOLVE_EVERY
-        far = 0
+            return
         median = weighted_median([(latency[i], 1) for i in open_ones])
         for i in open_ones:
             step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, (median / latency[i]) ** DAMPED))
-            far += abs(step - 1) > 0.99 * SOLVE_STEP and LEAST_FACTOR < self.factor[i] < MOST_FACTOR
             self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] * step))
-        # Far from balance (unequal machines listed as equal, a server grown slow) there is nothing to overshoot yet.
-        return SOLVE_EVERY / (2 if far > FAR_SHARE * len(open_ones) else 1)
 
     def _control(self) -> None:
         """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats.
