--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -37,6 +37,7 @@
 SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
 SPARED = 1 / 4  # of the tip multiple: what a cold server may be asked for
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
+LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
 KEPT = 1 / 2  # of what was met, from one solve to the next
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
@@ -73,6 +74,9 @@
         self.levels_by = facts.level_form
         self.control_every = facts.report_period + facts.worst_transit
         self.weighs = facts.listed_weights != "off"
+        # Guards against steering all work to the fastest while nobody is busy: their latency does not answer
+        # until they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
+        self.leak = LEAK if self.weighs else 0.0
         zones = range(len(facts.zones))
         # Servers: parallel arrays under a dense index.
         self.place: dict[bytes, int] = {}
@@ -328,7 +332,7 @@
         median = weighted_median([(latency[i], 1) for i in open_ones])
         for i in open_ones:
             step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, (median / latency[i]) ** DAMPED))
-            self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] * step))
+            self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] ** (1 - self.leak) * step))
 
     def _control(self) -> None:
         """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats.
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -58,13 +58,21 @@
 
 
 def test_weights_follow_latency_within_half_to_double_and_only_changes_are_sent():
-    world = World()
+    world = World(extra="weightSource=off\n")
     world.run(60, lambda w: calm(w, {server(0)}, latency=0.15))
     assert 0.5 <= world.table[server(0)] / world.table[server(1)] <= 0.6
     lines = [order.server for _, order in world.log if isinstance(order, face.SetLine)]
     assert lines.count(server(1)) == 1 and 4 <= lines.count(server(0)) <= 8
 
 
+def test_where_weights_are_listed_a_factor_rests_at_the_latency_ratio():
+    world = World()
+    world.run(60, lambda w: calm(w, {server(0)}, latency=0.15))
+    assert 0.6 <= world.table[server(0)] / world.table[server(1)] <= 0.75
+    world.run(60, calm)
+    assert world.table[server(0)] / world.table[server(1)] > 0.9
+
+
 def test_a_server_that_fails_fast_or_never_answers_loses_weight_in_the_solve():
     for symptom in ({"errored": 5, "latency": 0.01}, {"errored": 10, "latency": None}):
         world = World()
