Levels are set when strain is looked at, not with each swing of demand

Cause: the wanted level followed the demand's noise, each change started the wait for answers anew, and the strain was never looked at again.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -111,6 +111,7 @@
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_travels = False
+        self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
         self.spent: deque[float] = deque()  # withdrawals of late
         self.next_solve = now + SOLVE_EVERY
@@ -360,6 +361,8 @@
             self.let_in = min(1.0, self.let_in * EASED / max(pressure, EASED / LARGEST_RISE))
         elif pressure < EASED:
             self.tries = face.ONE_AFTER_PROOF
+        # Only now: levels that follow every swing of demand would be under way for ever, and never judged.
+        self.valves_wanted = self._wanted_valves()
 
     def _look_afresh(self) -> None:
         self.strain = [[0.0, 0.0, 0.0] for _ in self.ids]
@@ -446,7 +449,7 @@
         ):
             # Guards against a moment without a server: what replaces the last lines goes with their end.
             urgent, ordinary = ordinary + urgent, []
-        for k, (level, tries) in enumerate(self._wanted_valves()):
+        for k, (level, tries) in enumerate(self.valves_wanted):
             present, how = self.valve[k] or (0.0, None)
             if how != tries or abs(level - present) >= WORTH_SENDING * present:
                 ordinary.append(face.SetLevel(TABLE, level, 1 << k, tries))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -190,3 +190,13 @@
     world = World()
     world.run(30)
     assert {order.tries for order in valves(world).values()} == {face.ONE_AFTER_PROOF} and not world.out
+
+
+def test_levels_hold_still_between_two_looks_at_the_strain():
+    world = World(extra="domain.admit=rate\n")
+    world.run(10, lambda w: (demand(w, 100.0), [w.hear(name, 0.6, 2) for name in w.states])[0])
+    before, looked = list(world.brain.valves_wanted), world.brain.next_control
+    world.run(1, lambda w: demand(w, 50.0 + 50.0 * (w.now % 1)))
+    assert world.brain.next_control > looked or world.brain.valves_wanted == before
+    cuts = [at for at, order in world.log if isinstance(order, face.SetLevel) and order.operations == 1]
+    assert all(later - at >= world.brain.control_every for at, later in zip(cuts, cuts[1:], strict=False))
