Cuts and rises know what was answered before the strain

The knee, the most that was answered without strain, fading, bounds both. Looks at the strain are whole report periods apart. Harm: after capacity is really lost the knee is too high until it fades.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -16,6 +16,7 @@
 """
 
 from collections import deque
+from math import ceil
 from random import Random
 
 from driftshed import interface as face
@@ -44,6 +45,7 @@
 EASED = 2 / 3  # of that: no strain
 HEADROOM, LEAST_LET_IN = 0.9, 0.1  # what is let in at the most, of what is answered; at the least, of all
 LARGEST_CUT, LARGEST_RISE = 0.6, 1.2  # of what is let in, at a time
+DRAINING, RESUMED, FADE = 0.5, 0.7, 0.97  # of the knee: least let in, let in again when eased, kept each look
 SPARE_TRIES = 0.05  # beyond the first, of what comes
 CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
@@ -72,7 +74,7 @@
         value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
         self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
         self.levels_by = facts.level_form
-        self.control_every = facts.report_period + facts.worst_transit
+        self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
         self.weighs = facts.listed_weights != "off"
         # Guards against steering all work to the fastest while nobody is busy: their latency does not answer
         # until they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
@@ -109,6 +111,7 @@
         self.mix = [1.0 for _ in self.objectives]
         self.demand: dict[int, list[float]] = {}
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
+        self.knee = 0.0  # the most that was answered a second without strain, fading
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_travels = False
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
@@ -349,16 +352,19 @@
         if took is None:
             return  # silence is neither strain nor ease
         pressure = took / (STRAINED * self._objective())
+        self.knee = max(self.knee * FADE, good / span if pressure <= 1 else 0.0)
         if pressure > 1:
             # Cutting tries is known not to help where hardly any are made beyond the first.
             spare = self.tries != face.NO_TRY and tries / span > (1 + SPARE_TRIES) * come
             self.tries = face.NO_TRY
             if not spare and self.levels_by != "off":
                 # What a strained fleet answers is what it can do: let in a little less, in few large steps.
-                answered = HEADROOM * good / span / come
-                self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, answered, LEAST_LET_IN))
+                # In a jam it answers less than it could, so what it did before bounds the cut.
+                bearable = max(HEADROOM * good / span, DRAINING * self.knee) / come
+                self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, bearable, LEAST_LET_IN))
         elif pressure < EASED and self.let_in < 1:
-            self.let_in = min(1.0, self.let_in * EASED / max(pressure, EASED / LARGEST_RISE))
+            rise = max(self.let_in * EASED / max(pressure, EASED / LARGEST_RISE), RESUMED * self.knee / come)
+            self.let_in = min(1.0, rise)
         elif pressure < EASED:
             self.tries = face.ONE_AFTER_PROOF
         # Only now: levels that follow every swing of demand would be under way for ever, and never judged.
