--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -36,7 +36,7 @@
 
 # Ours.
 SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
-SPARED = 1 / 4  # of the tip multiple: what a cold server may be asked for
+SPARED = 1 / 2  # of the tip multiple: what a cold server may be asked for; half of it with no listed weights
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
 LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
 KEPT = 1 / 2  # of what was met, from one solve to the next
@@ -61,7 +61,7 @@
         self.asks = not facts.list_is_pushed
         self.ask_again = facts.ask_within / 8
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
-        self.tip_multiple = facts.tip_multiple
+        self.spare = facts.tip_multiple * (SPARED if facts.listed_weights != "off" else SPARED / 2)
         self.head = facts.lines_per_message + 1  # and the mark
         self.cap = facts.queue_cap
         self.all_in = 1.0 if facts.level_form == "share" else float(2**30)  # a level that stops nothing
@@ -409,7 +409,7 @@
         # fail to carry (a lost zone that is still listed, an overload) comes to it too, and again as repeats,
         # so its part shrinks with what is seen to answer. Harm: a little capacity idles while servers warm.
         answering = sum(wanted[i] * self._answered(i) for i in ready if self.out_at[i] is None)
-        spared = min(1.0, self.tip_multiple * SPARED * answering / whole) if whole else 1.0
+        spared = min(1.0, self.spare * answering / whole) if whole else 1.0
         for i in ready:
             age = (self.now - self.started[i]) // ENTRY_STEP * ENTRY_STEP
             if age < self.warm_within:
