A cold server's share of all tries stays within what it bears

Now shares are bounded, by the tries that come against what the fleet is known to answer, and warm servers take the rest; this replaces shrinking with what is seen to answer.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -36,7 +36,7 @@
 
 # Ours.
 SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
-SPARED = 1 / 2  # of the tip multiple: what a cold server may be asked for; half of it with no listed weights
+SPARED = 1 / 2  # of the tip multiple: what a cold server may be asked for
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
 LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
 KEPT = 1 / 2  # of what was met, from one solve to the next
@@ -61,7 +61,7 @@
         self.asks = not facts.list_is_pushed
         self.ask_again = facts.ask_within / 8
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
-        self.spare = facts.tip_multiple * (SPARED if facts.listed_weights != "off" else SPARED / 2)
+        self.spare = facts.tip_multiple * SPARED
         self.head = facts.lines_per_message + 1  # and the mark
         self.cap = facts.queue_cap
         self.all_in = 1.0 if facts.level_form == "share" else float(2**30)  # a level that stops nothing
@@ -112,6 +112,7 @@
         self.demand: dict[int, list[float]] = {}
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         self.knee = 0.0  # the most that was answered a second without strain, fading
+        self.crowding = 1.0  # what the fleet can answer, of the tries that come
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_travels = False
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
@@ -353,6 +354,7 @@
             return  # silence is neither strain nor ease
         pressure = took / (STRAINED * self._objective())
         self.knee = max(self.knee * FADE, good / span if pressure <= 1 else 0.0)
+        self.crowding = min(1.0, max(self.knee, good / span) * span / tries)
         if pressure > 1:
             # Cutting tries is known not to help where hardly any are made beyond the first.
             spare = self.tries != face.NO_TRY and tries / span > (1 + SPARE_TRIES) * come
@@ -405,24 +407,23 @@
             if settled >= whole / 2:
                 weight = min(weight, entry * 2 ** steps[i])
             wanted[i] = weight
-        # Guards against pushing a cold server over, and against queues at one that is half warm. What others
-        # fail to carry (a lost zone that is still listed, an overload) comes to it too, and again as repeats,
-        # so its part shrinks with what is seen to answer. Harm: a little capacity idles while servers warm.
-        answering = sum(wanted[i] * self._answered(i) for i in ready if self.out_at[i] is None)
-        spared = min(1.0, self.spare * answering / whole) if whole else 1.0
+        # Guards against queues at a server that is half warm: no more than it is sure to do by now.
+        cold, full = {}, sum(self.listed[i] * self.factor[i] for i in ready)
         for i in ready:
             age = (self.now - self.started[i]) // ENTRY_STEP * ENTRY_STEP
             if age < self.warm_within:
                 grown = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
-                wanted[i] = min(wanted[i], self.listed[i] * grown * spared)
+                wanted[i] = min(wanted[i], self.listed[i] * grown)
+                cold[i] = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
+        # Guards against pushing a cold server over: however much comes, in whatever state the rest is, its share
+        # of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm: in a deep
+        # overload servers idle while they warm.
+        warm = sum(wanted[i] for i in ready if i not in cold and self.out_at[i] is None)
+        if warm and sum(cold.values()) < 1:
+            for i, share in cold.items():
+                wanted[i] = min(wanted[i], share * warm / (1 - sum(cold.values())))
         return wanted
 
-    def _answered(self, i: int) -> float:
-        """The share of its tries that a server answered by what each zone heard last."""
-        last = [zone[i][-1] for zone in self.reports if zone[i] and zone[i][-1][0] > self.now - VIEW]
-        tries = sum(report[1] for report in last)
-        return 1 - sum(report[2] for report in last) / tries if tries else 1.0
-
     def _wanted_out(self) -> list[bool]:
         out = [at is not None and self.state[i] == face.READY for i, at in enumerate(self.out_at)]
         # Guards against a table without a server: with no other warm one, nobody is withdrawn for health.
