--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -48,6 +48,7 @@
 DRAINING, RESUMED, FADE = 0.5, 0.7, 0.97  # of the knee: least let in, let in again when eased, kept each look
 SPARE_TRIES = 0.05  # beyond the first, of what comes
 CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
+MARKS, MARKS_AHEAD = 65534, 1000  # numbers of marks; one up to so far ahead of another came later
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is for the urgent
@@ -114,7 +115,7 @@
         self.knee = 0.0  # the most that was answered a second without strain, fading
         self.crowding = 1.0  # what the fleet can answer, of the tries that come
         self.strain_from, self.next_control = now, now + self.control_every
-        self.valve_travels = False
+        self.valve_mark, self.valve_owed = 0, {}  # proxies that have not yet answered for the last levels
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
         self.spent: deque[float] = deque()  # withdrawals of late
@@ -142,10 +143,7 @@
             self.next_tick = now + self.tick
             self.orders.append(face.SetTimer(0, self.next_tick))
             self._judge()
-            if self.valve_travels and not self.unanswered:
-                self.valve_travels = False  # what is heard from now on tells of the levels in force
-                self._look_afresh()
-            if now >= self.next_control and not self.valve_travels:
+            if now >= self.next_control:
                 self._control()
             if now >= self.next_solve:
                 self.next_solve = now + SOLVE_EVERY
@@ -214,7 +212,7 @@
 
     def _hear_left(self, left: face.Left) -> None:
         """A proxy that has left is owed nothing and owes no answer."""
-        for known in (self.sent_at, self.unbound, self.unanswered, self.demand):
+        for known in (self.sent_at, self.unbound, self.unanswered, self.valve_owed, self.demand):
             known.pop(left.proxy, None)
 
     def _hear_applied(self, applied: face.Applied) -> None:
@@ -224,6 +222,11 @@
                 self.channel.popleft()
         if self.unanswered.get(applied.proxy) == applied.mark:
             del self.unanswered[applied.proxy]
+        ahead = (applied.mark - self.valve_mark) % MARKS
+        if applied.proxy in self.valve_owed and ahead < MARKS_AHEAD:
+            del self.valve_owed[applied.proxy]
+            if not self.valve_owed:
+                self._look_afresh()  # what is heard from now on tells of the levels in force
 
     def _hear_heard(self, heard: face.Heard) -> None:
         i = self.place.get(heard.server)
@@ -355,6 +358,8 @@
         pressure = took / (STRAINED * self._objective())
         self.knee = max(self.knee * FADE, good / span if pressure <= 1 else 0.0)
         self.crowding = min(1.0, max(self.knee, good / span) * span / tries)
+        if self.valve_owed:
+            return  # the last levels are still under way
         if pressure > 1:
             # Cutting tries is known not to help where hardly any are made beyond the first.
             spare = self.tries != face.NO_TRY and tries / span > (1 + SPARE_TRIES) * come
@@ -415,9 +420,9 @@
                 grown = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
                 wanted[i] = min(wanted[i], self.listed[i] * grown)
                 cold[i] = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
-        # Guards against pushing a cold server over: however much comes, in whatever state the rest is, its share
-        # of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm: in a deep
-        # overload servers idle while they warm.
+        # Guards against pushing a cold server over: however much comes, in whatever state the rest is, its
+        # share of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm: in a
+        # deep overload servers idle while they warm.
         warm = sum(wanted[i] for i in ready if i not in cold and self.out_at[i] is None)
         if warm and sum(cold.values()) < 1:
             for i, share in cold.items():
@@ -440,6 +445,7 @@
             self.channel.popleft()  # a lost answer must not stall the rest
             kept = {mark for mark, _, _ in self.channel}
             self.unanswered = {p: mark for p, mark in self.unanswered.items() if mark in kept}
+            self.valve_owed = {}
         free = not self.unanswered
         urgent, ordinary = [], []
         for i, weight in enumerate(lines):
@@ -482,8 +488,10 @@
             del self.unbound[proxy]
             messages[proxy] = size + self.head
         if messages:
-            self.marks = self.marks % (face.EVERY_TABLE - 1) + 1
+            self.marks = self.marks % MARKS + 1
             go.append(face.Mark(False, self.marks))
+            if any(isinstance(order, face.SetLevel) for order in go):
+                self.valve_mark, self.valve_owed = self.marks, dict.fromkeys(messages)
             self.channel.append((self.marks, sum(messages.values()), self.now))
             for proxy in messages:
                 self.unanswered[proxy] = self.marks
@@ -498,7 +506,6 @@
             self.shut[self.place[order.server]] = order.on
         else:
             self.valve[order.operations.bit_length() - 1] = (order.level, order.tries)
-            self.valve_travels = True
 
     def _waiting(self) -> float:
         return sum(lines for _, lines, _ in self.channel)
