--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -113,7 +113,7 @@
         self.demand: dict[int, list[float]] = {}
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         self.knee = 0.0  # the most that was answered a second without strain, fading
-        self.crowding = 1.0  # what the fleet can answer, of the tries that come
+        self.crowding = 1.0  # answered, of the tries that come and come again for having errored
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_mark, self.valve_owed = 0, {}  # proxies that have not yet answered for the last levels
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
@@ -357,7 +357,7 @@
             return  # silence is neither strain nor ease
         pressure = took / (STRAINED * self._objective())
         self.knee = max(self.knee * FADE, good / span if pressure <= 1 else 0.0)
-        self.crowding = min(1.0, max(self.knee, good / span) * span / tries)
+        self.crowding = good / (2 * tries - good)
         if self.valve_owed:
             return  # the last levels are still under way
         if pressure > 1:
@@ -420,7 +420,7 @@
                 grown = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
                 wanted[i] = min(wanted[i], self.listed[i] * grown)
                 cold[i] = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
-        # Guards against pushing a cold server over: however much comes, in whatever state the rest is, its
+        # Guards against pushing a cold server over: however much comes and however the rest is, its
         # share of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm: in a
         # deep overload servers idle while they warm.
         warm = sum(wanted[i] for i in ready if i not in cold and self.out_at[i] is None)
