A supervisor that starts blind takes the worst crowding for granted

Until it has heard of tries, a cold server now gets what it bears under the tip multiple. Also covers reports that never come; harm: cold servers idle some seconds.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -113,7 +113,9 @@
         self.demand: dict[int, list[float]] = {}
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         self.knee = 0.0  # the most that was answered a second without strain, fading
-        self.crowding = 1.0  # answered, of the tries that come and come again for having errored
+        # Answered, of the tries that come and come again for having errored. One that starts amid a jam and
+        # has heard nothing yet takes the worst for granted, so that it pushes no cold server over.
+        self.crowding = 1 / facts.tip_multiple
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_mark, self.valve_owed = 0, {}  # proxies that have not yet answered for the last levels
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
@@ -421,8 +423,8 @@
                 wanted[i] = min(wanted[i], self.listed[i] * grown)
                 cold[i] = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
         # Guards against pushing a cold server over: however much comes and however the rest is, its
-        # share of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm: in a
-        # deep overload servers idle while they warm.
+        # share of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm:
+        # in a deep overload servers idle while they warm.
         warm = sum(wanted[i] for i in ready if i not in cold and self.out_at[i] is None)
         if warm and sum(cold.values()) < 1:
             for i, share in cold.items():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 import pytest
 
 from driftshed import interface as face
+from driftshed.brain import Brain
 from tests.helpers import World, server
 
 PROVES_SAFE = {"idempotent": 3, "fingerprinted": 2, "side-effecting": 1}
@@ -108,7 +109,7 @@
 def test_a_cold_server_is_spared_what_a_lost_half_of_the_fleet_no_longer_carries():
     world = World()
     world.list(server(2), face.READY, world.now)
-    world.run(8)
+    world.run(8, lambda w: [w.hear(name) for name in w.states])
     before, lost = world.table[server(2)], {server(n) for n in range(3, 9)}
     world.run(1.5, lambda w: [w.hear(name, 0.1, 10 if name in lost else 0) for name in w.states])
     assert world.table[server(2)] < before / 1.5
@@ -200,3 +201,15 @@
     assert world.brain.next_control > looked or world.brain.valves_wanted == before
     cuts = [at for at, order in world.log if isinstance(order, face.SetLevel) and order.operations == 1]
     assert all(later - at >= world.brain.control_every for at, later in zip(cuts, cuts[1:], strict=False))
+
+
+def test_a_supervisor_that_starts_amid_cold_servers_spares_them_until_it_has_heard():
+    world = World()
+    world.states = {server(n): (face.READY, world.now - 6 if n > 2 else None) for n in range(9)}
+    world.news = [face.Listing(1, face.CACHED, tuple(map(world.entry, world.states)))]
+    world.news += [face.Joined(p % 2, False, p, 5.0) for p in range(4)]
+    world.brain, world.table = Brain(world.facts, 2, world.now), {}
+    world.turn()
+    blind = world.share(server(5))
+    world.run(3, lambda w: [w.hear(name, 0.1) for name in w.states])
+    assert 0 < blind < 0.05 and world.share(server(5)) > 1.5 * blind
