--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -121,7 +121,7 @@
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
         self.spent: deque[float] = deque()  # withdrawals of late
-        self.next_solve = now + SOLVE_EVERY
+        self.next_solve = now + SOLVE_EVERY * (1 if self.weighs else 2 / 3)
         self.next_urgent = LONG_AGO
         self.next_ask = now if self.asks else None
         self.next_tick = now
@@ -148,7 +148,7 @@
             if now >= self.next_control:
                 self._control()
             if now >= self.next_solve:
-                self.next_solve = now + SOLVE_EVERY
+                self.next_solve = now + SOLVE_EVERY * (1 if self.weighs else 2 / 3)
                 self._solve()
         self._reconcile()
         return self.orders
