Strain begins at two fifths of the latency objective instead of a half

Cause: when the median server takes half of the objective the jam has begun, and orders and reports take 2 to 3 s more.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -41,7 +41,7 @@
 LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
 KEPT = 1 / 2  # of what was met, from one solve to the next
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
-STRAINED = 1 / 2  # the median server takes more than this of the objective: strain
+STRAINED = 2 / 5  # the median server takes more than this of the objective: strain
 EASED = 2 / 3  # of that: no strain
 HEADROOM, LEAST_LET_IN = 0.9, 0.1  # what is let in at the most, of what is answered; at the least, of all
 LARGEST_CUT, LARGEST_RISE = 0.6, 1.2  # of what is let in, at a time
@@ -75,11 +75,6 @@
         value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
         self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
         self.levels_by = facts.level_form
-        # Guards against an effect that happens twice: only what may run again is tried again without proof.
-        self.most_tries = [
-            face.ONE_AFTER_ANY if operation.effect == "idempotent" else face.ONE_AFTER_PROOF
-            for operation in facts.operations
-        ]
         self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
         self.weighs = facts.listed_weights != "off"
         # Guards against steering all work to the fastest while nobody is busy: their latency does not answer
@@ -116,17 +111,17 @@
         self.strain: list[list[float]] = []  # tries, good ones, time of all
         self.mix = [1.0 for _ in self.objectives]
         self.demand: dict[int, list[float]] = {}
-        self.let_in, self.tries = 1.0, face.ONE_AFTER_ANY  # the part of all that comes
+        self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         self.knee = 0.0  # the most that was answered a second without strain, fading
         # Answered, of the tries that come and come again for having errored. One that starts amid a jam and
         # has heard nothing yet takes the worst for granted, so that it pushes no cold server over.
         self.crowding = 1 / facts.tip_multiple
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_mark, self.valve_owed = 0, {}  # proxies that have not yet answered for the last levels
-        self.valves_wanted = [(self.all_in, most) for most in self.most_tries]
+        self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
         self.spent: deque[float] = deque()  # withdrawals of late
-        self.next_solve = now + SOLVE_EVERY
+        self.next_solve = now + SOLVE_EVERY * (1 if self.weighs else 2 / 3)
         self.next_urgent = LONG_AGO
         self.next_ask = now if self.asks else None
         self.next_tick = now
@@ -153,7 +148,7 @@
             if now >= self.next_control:
                 self._control()
             if now >= self.next_solve:
-                self.next_solve = now + SOLVE_EVERY
+                self.next_solve = now + SOLVE_EVERY * (1 if self.weighs else 2 / 3)
                 self._solve()
         self._reconcile()
         return self.orders
@@ -380,7 +375,7 @@
             rise = max(self.let_in * EASED / max(pressure, EASED / LARGEST_RISE), RESUMED * self.knee / come)
             self.let_in = min(1.0, rise)
         elif pressure < EASED:
-            self.tries = face.ONE_AFTER_ANY
+            self.tries = face.ONE_AFTER_PROOF
         # Only now: levels that follow every swing of demand would be under way for ever, and never judged.
         self.valves_wanted = self._wanted_valves()
 
@@ -400,7 +395,7 @@
             level = self.all_in
             if self.let_in < 1 and part < 1:
                 level = part if self.levels_by == "share" else fair_rate(rates[k], part)
-            valves.append((level, min(self.tries, self.most_tries[k])))
+            valves.append((level, self.tries))
         return valves
 
     def _wanted_lines(self) -> list[float]:
