--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -358,7 +358,7 @@
         if took is None:
             return  # silence is neither strain nor ease
         pressure = took / (STRAINED * self._objective())
-        self.knee = max(self.knee * FADE, good / span if pressure <= 1 else 0.0)
+        self.knee = max(self.knee * FADE, good / span if pressure * EASED <= 1 else 0.0)
         self.crowding = good / (2 * tries - good)
         if self.valve_owed:
             return  # the last levels are still under way
@@ -369,16 +369,14 @@
             if not spare and self.levels_by != "off":
                 # What a strained fleet answers is what it can do: let in a little less, in few large steps.
                 # In a jam it answers less than it could, so what it did before bounds the cut.
-                bearable = max(HEADROOM * good / span, DRAINING * self.knee) * span / tries
-                self.let_in *= max(LARGEST_CUT, min(1.0, bearable))
+                bearable = max(HEADROOM * good / span, DRAINING * self.knee) / come
+                self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, bearable, LEAST_LET_IN))
         elif pressure < EASED and self.let_in < 1:
-            # By tries, not by what comes: those that come again after a refusal are refused again.
-            rise = max(EASED / max(pressure, EASED / LARGEST_RISE), RESUMED * self.knee * span / tries)
-            self.let_in = min(1.0, self.let_in * rise)
+            rise = max(self.let_in * EASED / max(pressure, EASED / LARGEST_RISE), RESUMED * self.knee / come)
+            self.let_in = min(1.0, rise)
         elif pressure < EASED:
             self.tries = face.ONE_AFTER_PROOF
         # Only now: levels that follow every swing of demand would be under way for ever, and never judged.
-        self.let_in = max(LEAST_LET_IN, self.let_in)
         self.valves_wanted = self._wanted_valves()
 
     def _look_afresh(self) -> None:
