--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -121,7 +121,7 @@
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
         self.spent: deque[float] = deque()  # withdrawals of late
-        self.next_solve = now + SOLVE_EVERY * (1 if self.weighs else 2 / 3)
+        self.next_solve = now + SOLVE_EVERY
         self.next_urgent = LONG_AGO
         self.next_ask = now if self.asks else None
         self.next_tick = now
@@ -148,7 +148,7 @@
             if now >= self.next_control:
                 self._control()
             if now >= self.next_solve:
-                self.next_solve = now + SOLVE_EVERY * (1 if self.weighs else 2 / 3)
+                self.next_solve = now + SOLVE_EVERY
                 self._solve()
         self._reconcile()
         return self.orders
@@ -224,6 +224,8 @@
                 self.channel.popleft()
         if self.unanswered.get(applied.proxy) == applied.mark:
             del self.unanswered[applied.proxy]
+            if not self.unanswered:
+                self.channel.clear()
         ahead = (applied.mark - self.valve_mark) % MARKS
         if applied.proxy in self.valve_owed and ahead < MARKS_AHEAD:
             del self.valve_owed[applied.proxy]
@@ -475,9 +477,9 @@
             if urgent and self.now >= self.next_urgent and self._room(proxies, len(urgent), 1.0):
                 go += urgent
                 self.next_urgent = self.now + self.gap
+            ordinary = ordinary[: max(1, int(self.round_lines / proxies - self.head))]
             if ordinary and free and self._room(proxies, len(go) + len(ordinary), ORDINARY_SHARE):
-                most = max(1, int(self.round_lines / proxies - self.head))
-                go = ordinary[:most] + go
+                go = ordinary + go
         for order in go:
             self._take(order)
         bound = [proxy for proxy in self.sent_at if proxy not in self.unbound] if go else []
@@ -514,7 +516,7 @@
 
     def _room(self, proxies: int, lines: int, share: float) -> bool:
         """Whether a message of so many lines to each proxy keeps the channel's and every proxy's cap."""
-        if self._waiting() + proxies * (lines + self.head) > self.cap * share and share == 1.0:
+        if self._waiting() + proxies * (lines + self.head) > self.cap * share:
             return False
         for sent in self.sent_at.values():
             while sent and sent[0] <= self.now - self.message_span:
