Complaints of a server that answers next to nothing count in half the time

Told from overload by the strain: under it weak servers look dead, and patience stays. Also catches a crashed server that is still listed; harm: a short cut-off that two zones see the same way withdraws a healthy one sooner, under the same caps.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -49,6 +49,7 @@
 SPARE_TRIES = 0.05  # beyond the first, of what comes
 CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
 MARKS, MARKS_AHEAD = 65534, 1000  # numbers of marks; one up to so far ahead of another came later
+DEAD_SHARE = 0.9  # of the tries err: complaints of it count in half the time
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is for the urgent
@@ -326,7 +327,11 @@
         since = self.since[zone][i]
         if since is not None and self.renewed[zone][i] < self.now - LAPSE:
             self.since[zone][i] = since = None
-        return since is not None and self.now - since >= LASTING
+        # Guards against a server that answers next to nothing, which holds what it takes until clients give up:
+        # it needs less patience than a late one. Not under strain, when weak servers look dead.
+        dead = self.view[zone][i][2] >= DEAD_SHARE and self.tries != face.NO_TRY
+        lasting = LASTING / 2 if dead else LASTING
+        return since is not None and self.now - since >= lasting
 
     def _solve(self) -> None:
         """The companion: each weight one step toward equal latency."""
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -29,6 +29,13 @@
     assert world.share(server(3)) > 0.05
 
 
+def test_a_server_that_answers_nothing_is_withdrawn_in_half_the_time():
+    world = World()
+    world.run(4, calm)
+    world.run(LASTING / 2 + 2, lambda w: calm(w, {server(3)}, errored=10, latency=None))
+    assert not world.sends(server(3))
+
+
 def test_one_zone_alone_never_withdraws_and_latency_counts_against_the_baseline():
     world = World()
     world.run(4, calm)
