--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -8,7 +8,8 @@
 steps, and ONE table that all proxies share is steered by latency. Mechanisms beside the design, six at most:
 
  1. Following the list: a draining or gone server loses its line at once, outside the caps.
- 2. Cold servers: no more weight than the capacity that a started server is sure to have by now.
+ 2. Cold servers: no more weight than the capacity that a started server is sure to have by now, and no more
+    of all tries than it bears.
  3. Never bare: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go one marked round at a time; room is kept for urgent ones.
  5. Tries and levels: while the fleet's median server is short of time, further tries are cut first, then what
@@ -327,8 +328,8 @@
         since = self.since[zone][i]
         if since is not None and self.renewed[zone][i] < self.now - LAPSE:
             self.since[zone][i] = since = None
-        # Guards against a server that answers next to nothing, which holds what it takes until clients give up:
-        # it needs less patience than a late one. Not under strain, when weak servers look dead.
+        # Guards against a server that answers next to nothing and holds what it takes until clients give
+        # up: it needs less patience than a late one. Not under strain, when weak servers look dead.
         dead = self.view[zone][i][2] >= DEAD_SHARE and self.tries != face.NO_TRY
         lasting = LASTING / 2 if dead else LASTING
         return since is not None and self.now - since >= lasting
