--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -46,7 +46,7 @@
 
     def entry(self, name: bytes) -> face.Entry:
         state, started = self.states[name]
-        return face.Entry(name, 0, 0, started, 0, state, 1.0)
+        return face.Entry(name, 0, name[3] % 2, started, 0, state, 1.0)  # odd ones are of another kind
 
     def list(self, name: bytes, state: int, started: float | None = None) -> None:
         self.states[name] = (state, started)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -117,10 +117,33 @@
 
 def test_a_new_server_begins_with_the_factor_of_its_kind():
     world = World()
-    world.run(40, lambda w: [w.hear(server(n), 0.4 if n < 5 else 0.1) for n in range(9)])
-    world.list(server(20), face.READY, world.now - 60)
+    world.run(40, lambda w: [w.hear(server(n), 0.4 if n % 2 else 0.1) for n in range(9)])
+    world.list(server(21), face.READY, world.now - 60)
     world.run(20)
-    assert world.table[server(20)] == pytest.approx(min(world.table.values()), rel=0.1)
+    assert world.table[server(21)] == pytest.approx(world.table[server(1)], rel=0.1)
+    assert world.table[server(21)] < 0.8 * world.table[server(0)]
+
+
+def test_a_withdrawn_server_comes_back_when_it_is_the_last_warm_one():
+    world = World(servers=3)
+    world.run(4, lambda w: [w.hear(name) for name in w.states])
+    world.run(6, lambda w: [w.hear(server(n), errored=0 if n else 10) for n in range(3)])
+    assert not world.sends(server(0))
+    world.list(server(1), face.DRAINING)
+    world.list(server(2), face.READY, world.now)
+    world.run(1)
+    assert world.sends(server(0))
+
+
+def test_a_mass_return_does_not_leave_all_work_with_the_few_that_stayed():
+    world = World()
+    for n in range(2, 9):
+        world.list(server(n), face.GONE)
+    world.run(1)
+    for n in range(2, 9):
+        world.list(server(n), face.READY, world.now - 60)
+    world.run(1)
+    assert world.share(server(0)) < 0.2
 
 
 def test_ordinary_changes_wait_for_answers_and_a_lost_answer_does_not_stall_them_for_ever():
