The shared table is dealt in parts where it no longer fits; drains kept at full size

Cause: one table of all servers for all proxies costs connections, lines and messages by the product of both. Now the one vector of weights is laid out in parts of about twice the standing lines, each of one zone's servers; the proxies are dealt among the parts so that demand follows the parts' weight, those of their own zone first, and a proxy moves when its part is asked for over a fifth more than its due. Urgent lines go as far as they fit instead of all or none. The caps hold in each part; agreement is of the zones that have judged the server. Harm: a part of few servers feels each loss.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -16,14 +16,14 @@
     is let in, operations of the least billed value per unit of work first.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from math import ceil
 from random import Random
 
 from driftshed import interface as face
 
 LONG_AGO = float("-inf")
-TABLE = 0  # the one shared table
+ANYWHERE = -1  # the zone of the one part of a small fleet
 
 # The design's values. Spans are seconds.
 SLOW_TIMES, ERRED_SHARE = 2.0, 0.10  # what a zone complains of
@@ -54,6 +54,10 @@
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is for the urgent
+PART_LINES, PROXIES_A_PART = 2, 5  # standing tables' lines in a part of the shared table; proxies that share it
+NEAR = 4.0  # what a part of the proxy's own zone counts for
+BALANCING = 4  # rounds that bring what zones bring to the parts in line with their weight
+UNEVEN = 0.2  # of its due: a part with so much more gives a proxy away
 
 
 class Brain:
@@ -79,6 +83,8 @@
         self.levels_by = facts.level_form
         self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
         self.weighs = facts.listed_weights != "off"
+        self.part_lines = PART_LINES * max(1, facts.standing_lines)
+        self.most_parts = facts.proxies / max(1, facts.supervisors) / PROXIES_A_PART
         # Guards against steering all work to the fastest while nobody is busy: their latency does not answer
         # until they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
         self.leak = LEAK if self.weighs else 0.0
@@ -94,6 +100,7 @@
         self.entered: list[float] = []  # when its steps began
         self.out_at: list[float | None] = []  # withdrawn for health since
         self.met: list[list[float]] = []  # tries, good ones, time of all: fading from solve to solve
+        self.part: list[int] = []  # which part of the shared table has its line
         self.line: list[float] = []  # present: weight of its line, 0 for none
         self.shut: list[bool] = []  # present: withdrawn
         # What each zone says of each server.
@@ -102,10 +109,13 @@
         self.since: list[list[float | None]] = [[] for _ in zones]
         self.renewed: list[list[float]] = [[] for _ in zones]
         self.view: list[list[tuple]] = [[] for _ in zones]  # judged when, times the usual, erred share
-        self.zone_heard = [LONG_AGO for _ in zones]
-        # Proxies: when each was written to, those still to be put on the table, answers still to come.
+        # Parts of the shared table: the zone of the servers of each.
+        self.part_zone: list[int] = []
+        # Proxies: zone, when each was written to, the part that each should hold and does hold, answers to come.
+        self.home: dict[int, int] = {}
         self.sent_at: dict[int, deque] = {}
-        self.unbound: dict[int, None] = {}
+        self.due_part: dict[int, int] = {}
+        self.held_part: dict[int, int] = {}
         self.unanswered: dict[int, int] = {}
         self.channel: deque[tuple[int, int, float]] = deque()  # mark, lines, when: may still wait there
         self.marks = 0
@@ -121,12 +131,12 @@
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_mark, self.valve_owed = 0, {}  # proxies that have not yet answered for the last levels
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
-        self.valve: list[tuple | None] = [None for _ in self.objectives]  # present: level and tries
-        self.spent: deque[float] = deque()  # withdrawals of late
+        self.valve: dict[tuple[int, int], tuple] = {}  # present, by part and operation: level and tries
+        self.spent: dict[int, deque] = defaultdict(deque)  # withdrawals of late, by part
         self.next_solve = now + SOLVE_EVERY
         self.next_urgent = LONG_AGO
         self.next_ask = now if self.asks else None
-        self.next_tick = now
+        self.next_tick = self.next_deal = now
         self.first_list = True
         self.orders: list = []
 
@@ -152,7 +162,9 @@
             if now >= self.next_solve:
                 self.next_solve = now + SOLVE_EVERY
                 self._solve()
-        self._reconcile()
+        lines, out = self._wanted_lines(), self._wanted_out()
+        self._deal(lines, out)
+        self._reconcile(lines, out)
         return self.orders
 
     def _hear_listing(self, listing: face.Listing) -> None:
@@ -166,9 +178,24 @@
             for server, i in self.place.items():
                 if server not in named:
                     self.state[i] = face.GONE
+        if self.first_list:
+            self._divide([entry for entry in listing.entries if entry.state == face.READY])
         for entry in listing.entries:
             self._list(entry)
-        self.first_list = False
+        self.first_list = self.first_list and not listing.entries
+
+    def _divide(self, ready: list) -> None:
+        """The parts of the shared table: as many of each zone as its servers fill.
+
+        Guards against a fleet whose whole table no proxy can be sent in time: every proxy with a line to every
+        server costs connections, lines and messages by the product of both. A small fleet is one part.
+        """
+        fits = max(self.part_lines, len(ready) / max(1.0, self.most_parts))
+        counts = [sum(entry.zone == zone for entry in ready) for zone in range(len(self.reports))]
+        if len(ready) >= fits * max(2, sum(map(bool, counts))):
+            self.part_zone = [z for z, count in enumerate(counts) for _ in range(max(count > 0, int(count / fits)))]
+        else:
+            self.part_zone = [ANYWHERE]
 
     def _list(self, entry) -> None:
         started = LONG_AGO if entry.started is None else entry.started
@@ -177,6 +204,7 @@
             self.kind.append(entry.kind)
             self.place[entry.server] = len(self.ids)
             self.ids.append(entry.server)
+            self.part.append(0)
             for array, value in (
                 (self.state, face.GONE), (self.started, started), (self.listed, 1.0), (self.factor, 1.0),
                 (self.entered, LONG_AGO), (self.out_at, None), (self.line, 0.0), (self.shut, False),
@@ -191,6 +219,8 @@
                 self.renewed[zone].append(LONG_AGO)
                 self.view[zone].append((LONG_AGO, 0.0, 0.0))
         i = self.place[entry.server]
+        if not self.line[i] and not self.shut[i]:
+            self.part[i] = self._part_for(entry)
         if entry.state == face.READY and (self.state[i] != face.READY or started > self.started[i]):
             self._enter(i, LONG_AGO if self.first_list else self.now)
             if (started > self.started[i] or new) and not self.first_list:
@@ -202,6 +232,16 @@
         if self.weighs and entry.weight > 0:
             self.listed[i] = entry.weight
 
+    def _part_for(self, entry) -> int:
+        """Where a server goes: to the part of its zone with the fewest of its kind, then with the least weight."""
+        parts = [p for p, zone in enumerate(self.part_zone) if zone == entry.zone] or range(len(self.part_zone))
+        alike, weight = [0] * len(self.part_zone), [0.0] * len(self.part_zone)
+        for i, part in enumerate(self.part):
+            if self.state[i] == face.READY:
+                alike[part] += self.kind[i] == entry.kind
+                weight[part] += self.listed[i]
+        return min(parts, key=lambda p: (alike[p], weight[p]))
+
     def _enter(self, i: int, at: float) -> None:
         """A new, restarted or returned server begins its steps with nothing held against it."""
         self.entered[i], self.out_at[i] = at, None
@@ -212,11 +252,14 @@
     def _hear_joined(self, joined: face.Joined) -> None:
         self._hear_left(joined)
         self.sent_at[joined.proxy] = deque()
-        self.unbound[joined.proxy] = None
+        self.home[joined.proxy] = joined.zone
+        self.demand[joined.proxy] = [joined.rate * part / sum(self.mix) for part in self.mix]
 
     def _hear_left(self, left: face.Left) -> None:
         """A proxy that has left is owed nothing and owes no answer."""
-        for known in (self.sent_at, self.unbound, self.unanswered, self.valve_owed, self.demand):
+        for known in (
+            self.sent_at, self.home, self.due_part, self.held_part, self.unanswered, self.valve_owed, self.demand,
+        ):  # fmt: skip
             known.pop(left.proxy, None)
 
     def _hear_applied(self, applied: face.Applied) -> None:
@@ -238,7 +281,6 @@
         i = self.place.get(heard.server)
         if i is None or not heard.tries or heard.zone >= len(self.reports):
             return
-        self.zone_heard[heard.zone] = self.now
         good = heard.tries - min(heard.errored, heard.tries)
         took = good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
         self.met[i][0] += heard.tries
@@ -282,7 +324,7 @@
 
     def _hear_demand(self, demand: face.Demand) -> None:
         if demand.proxy in self.sent_at and demand.window > 0 and demand.operation < len(self.mix):
-            rates = self.demand.setdefault(demand.proxy, [0.0 for _ in self.mix])
+            rates = self.demand[demand.proxy]
             rates[demand.operation] += (demand.arrived / demand.window - rates[demand.operation]) / 2
             self.mix[demand.operation] = 0.99 * self.mix[demand.operation] + 0.01 * demand.arrived
 
@@ -301,23 +343,26 @@
         for i in ready:
             if self.out_at[i] is not None and self.now - self.out_at[i] >= OUT_FOR:
                 self._enter(i, self.now)
-        while self.spent and self.spent[0] <= self.now - BUDGET_SPAN:
-            self.spent.popleft()
-        zones = [zone for zone, at in enumerate(self.zone_heard) if at > self.now - LAPSE]
-        enough = min(ZONES_TO_AGREE, len(zones))
         named = []
         for i in ready:
-            naming = [zone for zone in zones if self._names(zone, i)] if self.out_at[i] is None else []
-            if enough and len(naming) >= enough:
-                named.append((min(self.since[zone][i] for zone in naming), i))
+            if self.out_at[i] is None:
+                # Its zones are those that have judged it of late: a part may be known to one zone alone.
+                zones = [zone for zone, view in enumerate(self.view) if view[i][0] > self.now - LAPSE]
+                naming = [zone for zone in zones if self._names(zone, i)]
+                if naming and len(naming) >= min(ZONES_TO_AGREE, len(zones)):
+                    named.append((min(self.since[zone][i] for zone in naming), i))
         for _, i in sorted(named):  # the longest complained of first
-            out = sum(self.out_at[k] is not None for k in ready)
-            if out + 1 > min(MOST_OUT, int(len(ready) * MOST_OUT_SHARE)) or len(self.spent) >= BUDGET:
-                return
-            if not any(self._warm(k) and self.out_at[k] is None for k in ready if k != i):
+            # A part is what a whole small fleet is: the design's caps hold in each.
+            part = [k for k in ready if self.part[k] == self.part[i]]
+            out, spent = sum(self.out_at[k] is not None for k in part), self.spent[self.part[i]]
+            while spent and spent[0] <= self.now - BUDGET_SPAN:
+                spent.popleft()
+            if out + 1 > min(MOST_OUT, int(len(part) * MOST_OUT_SHARE)) or len(spent) >= BUDGET:
+                continue
+            if not any(self._warm(k) and self.out_at[k] is None for k in part if k != i):
                 continue
             self.out_at[i] = self.now
-            self.spent.append(self.now)
+            spent.append(self.now)
             said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} erred" for _, slow, erred in self._views_of(i))
             self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
 
@@ -408,95 +453,165 @@
 
     def _wanted_lines(self) -> list[float]:
         """The weight that each server's line should have now; 0 for no line."""
-        ready = [i for i in range(len(self.ids)) if self.state[i] == face.READY]
         wanted = [0.0] * len(self.ids)
-        whole = sum(self.listed[i] for i in ready)
-        steps = [min(99.0, (self.now - entered) // ENTRY_STEP) for entered in self.entered]
-        entry = whole / max(1, len(ready)) * ENTRY_PART
-        done = [ENTRY_PART * 2**step >= 1 for step in steps]
-        settled = sum(self.listed[i] for i in ready if done[i] and self.out_at[i] is None)
-        for i in ready:
-            weight = self.listed[i] * self.factor[i]
-            # Steps presume others that carry the rest. With most of the fleet still entering they would push
-            # over the few that are in, so then only what is sure of a cold one's capacity holds it back.
-            if settled >= whole / 2:
-                weight = min(weight, entry * 2 ** steps[i])
-            wanted[i] = weight
-        # Guards against queues at a server that is half warm: no more than it is sure to do by now.
-        cold, full = {}, sum(self.listed[i] * self.factor[i] for i in ready)
-        for i in ready:
-            age = (self.now - self.started[i]) // ENTRY_STEP * ENTRY_STEP
-            if age < self.warm_within:
-                grown = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
-                wanted[i] = min(wanted[i], self.listed[i] * grown)
-                cold[i] = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
-        # Guards against pushing a cold server over: however much comes and however the rest is, its
-        # share of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm:
-        # in a deep overload servers idle while they warm.
-        warm = sum(wanted[i] for i in ready if i not in cold and self.out_at[i] is None)
-        if warm and sum(cold.values()) < 1:
-            for i, share in cold.items():
-                wanted[i] = min(wanted[i], share * warm / (1 - sum(cold.values())))
+        members: list[list[int]] = [[] for _ in self.part_zone]
+        for i, state in enumerate(self.state):
+            if state == face.READY:
+                members[self.part[i]].append(i)
+        ready = [i for part in members for i in part]
+        entry = sum(self.listed[i] for i in ready) / max(1, len(ready)) * ENTRY_PART
+        full = sum(self.listed[i] * self.factor[i] for i in ready)
+        brought = self._brought()
+        for part, servers in enumerate(members):
+            steps = {i: min(99.0, (self.now - self.entered[i]) // ENTRY_STEP) for i in servers}
+            whole = sum(self.listed[i] for i in servers)
+            settled = sum(
+                self.listed[i] for i in servers if ENTRY_PART * 2 ** steps[i] >= 1 and self.out_at[i] is None
+            )
+            for i in servers:
+                wanted[i] = self.listed[i] * self.factor[i]
+                # Steps presume others that carry the rest. With most of the part still entering they would push
+                # over the few that are in, so then only what is sure of a cold one's capacity holds it back.
+                if settled >= whole / 2:
+                    wanted[i] = min(wanted[i], entry * 2 ** steps[i])
+            # Guards against queues at a server that is half warm: no more than it is sure to do by now.
+            cold = {}
+            for i in servers:
+                age = (self.now - self.started[i]) // ENTRY_STEP * ENTRY_STEP
+                if age < self.warm_within:
+                    grown = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
+                    wanted[i] = min(wanted[i], self.listed[i] * grown)
+                    bears = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
+                    cold[i] = bears * (sum(brought) / brought[part] if brought[part] else len(brought))
+            # Guards against pushing a cold server over: however much comes and however the rest is, its
+            # share of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm:
+            # in a deep overload servers idle while they warm.
+            warm = sum(wanted[i] for i in servers if i not in cold and self.out_at[i] is None)
+            if warm and sum(cold.values()) < 1:
+                for i, share in cold.items():
+                    wanted[i] = min(wanted[i], share * warm / (1 - sum(cold.values())))
         return wanted
 
     def _wanted_out(self) -> list[bool]:
         out = [at is not None and self.state[i] == face.READY for i, at in enumerate(self.out_at)]
-        # Guards against a table without a server: with no other warm one, nobody is withdrawn for health.
-        if any(out) and not any(self._warm(i) and not out[i] for i in range(len(out))):
-            return [False] * len(out)
-        return out
+        # Guards against a part without a server: with no other warm one, nobody is withdrawn for health.
+        safe = {self.part[i] for i in range(len(out)) if self._warm(i) and not out[i]}
+        return [shut and self.part[i] in safe for i, shut in enumerate(out)]
+
+    def _brought(self) -> list[float]:
+        """What comes to the proxies of each part."""
+        brought = [0.0] * len(self.part_zone)
+        for proxy, part in self.due_part.items():
+            brought[part] += sum(self.demand[proxy])
+        return brought
+
+    def _deal(self, lines: list[float], out: list[bool]) -> None:
+        """Which part of the shared table each proxy should hold: demand follows the parts' weight, near ones first.
+
+        Guards against a part that is asked for more than its servers do, or has lost them all.
+        """
+        weight = [0.0] * len(self.part_zone)
+        for i, line in enumerate(lines):
+            weight[self.part[i]] += 0.0 if out[i] else line
+        lost = {p for p in self.home if p not in self.due_part or not weight[self.due_part[p]]}
+        even = self.now >= self.next_deal and not self.unanswered and len(weight) > 1
+        if not any(weight) or not (lost or even):
+            return
+        self.next_deal = self.now + self.tick if even else self.next_deal
+        rate = {proxy: sum(self.demand[proxy]) for proxy in self.home}
+        due = self._due(weight, rate)
+        for zone in sorted(set(self.home.values())):
+            over = [-each for each in due[zone]]
+            mine = sorted((proxy for proxy, home in self.home.items() if home == zone), key=lambda p: (-rate[p], p))
+            for proxy in mine:
+                if proxy not in lost:
+                    over[self.due_part[proxy]] += rate[proxy]
+            for proxy in mine:
+                if proxy in lost:
+                    part = min((p for p, w in enumerate(weight) if w), key=lambda p: over[p] / (due[zone][p] or 1e-9))
+                    self.due_part[proxy] = part
+                    over[part] += rate[proxy]
+            for proxy in mine if even else ():
+                giver, taker = self.due_part[proxy], over.index(min(over))
+                if over[giver] > UNEVEN * due[zone][giver] and rate[proxy] <= min(over[giver], -over[taker]):
+                    self.due_part[proxy] = taker
+                    over[giver] -= rate[proxy]
+                    over[taker] += rate[proxy]
+
+    def _due(self, weight: list[float], rate: dict[int, float]) -> list[list[float]]:
+        """What each zone's proxies should bring to each part: in all as the parts weigh, near ones first.
+
+        A zone that none of the own proxies is in is taken to bring what is usual to its own servers.
+        """
+        zones = range(len(self.reports))
+        come = [sum(each for proxy, each in rate.items() if self.home[proxy] == zone) for zone in zones]
+        at = list(zip(weight, self.part_zone, strict=True))
+        held = [sum(each for each, place in at if place in (zone, ANYWHERE)) for zone in zones]
+        known = [zone for zone in zones if come[zone]]
+        usual = sum(come) / (sum(held[zone] for zone in known) or 1.0)
+        come = [each or usual * held[zone] for zone, each in enumerate(come)]
+        pull = [[each * (NEAR if place == zone else 1.0) for each, place in at] for zone in zones]
+        for _ in range(BALANCING):
+            due = [[come[zone] * each / sum(row) for each in row] for zone, row in enumerate(pull)]
+            brought = [sum(column) or 1.0 for column in zip(*due, strict=True)]
+            fair = [w / sum(weight) * sum(brought) / b for w, b in zip(weight, brought, strict=True)]
+            pull = [[each * f for each, f in zip(row, fair, strict=True)] for row in pull]
+        return due
 
     # ---- from what is to what should be
 
-    def _reconcile(self) -> None:
-        lines, out = self._wanted_lines(), self._wanted_out()
-        proxies = len(self.sent_at) - len(self.unbound)
+    def _reconcile(self, lines: list[float], out: list[bool]) -> None:
         while self.channel and self.now - self.channel[0][2] > self.patience:
             self.channel.popleft()  # a lost answer must not stall the rest
             kept = {mark for mark, _, _ in self.channel}
             self.unanswered = {p: mark for p, mark in self.unanswered.items() if mark in kept}
             self.valve_owed = {}
-        free = not self.unanswered
         urgent, ordinary = [], []
         for i, weight in enumerate(lines):
-            present = self.line[i]
+            part, present = self.part[i], self.line[i]
+            line = (part, face.SetLine(self.ids[i], weight, part))
             restarted = self.entered[i] == self.now or self.now - self.started[i] < self.warm_within
             if present and (not weight or (restarted and weight < present * (1 - SOLVE_STEP))):
-                urgent.append(face.SetLine(self.ids[i], weight, TABLE))
+                urgent.append((weight, *line))
             elif weight and (not present or abs(weight - present) >= WORTH_SENDING * present):
-                ordinary.append(face.SetLine(self.ids[i], weight, TABLE))
+                ordinary.append((-abs(weight - present) / (weight + present), *line))
             if out[i] != self.shut[i]:
-                ordinary.append(face.Withdraw(out[i], self.ids[i]))
-        if any(not line.weight for line in urgent) and all(
-            not self.line[i] or not lines[i] or out[i] for i in range(len(lines))
-        ):
-            # Guards against a moment without a server: what replaces the last lines goes with their end.
-            urgent, ordinary = ordinary + urgent, []
+                ordinary.append((-1.0, part, face.Withdraw(out[i], self.ids[i])))
+        for part in {part for weight, part, _ in urgent if not weight}:
+            if all(not self.line[i] or not lines[i] or out[i] for i, p in enumerate(self.part) if p == part):
+                # Guards against a moment without a server: what replaces the last lines goes with their end.
+                urgent = [row for row in ordinary if row[1] == part] + urgent
+                ordinary = [row for row in ordinary if row[1] != part]
         for k, (level, tries) in enumerate(self.valves_wanted):
-            present, how = self.valve[k] or (0.0, None)
-            if how != tries or abs(level - present) >= WORTH_SENDING * present:
-                ordinary.append(face.SetLevel(TABLE, level, 1 << k, tries))
+            for part in range(len(self.part_zone)):
+                present, how = self.valve.get((part, k), (0.0, None))
+                if how != tries or abs(level - present) >= WORTH_SENDING * present:
+                    ordinary.append((-1.0, part, face.SetLevel(part, level, 1 << k, tries)))
+        users: dict[int, list[int]] = defaultdict(list)
+        for proxy, part in self.held_part.items():
+            users[part].append(proxy)
         go: list = []
-        if not proxies:
-            go = ordinary + urgent  # nobody is told, so it costs nothing
+        messages: dict[int, float] = {}
+        free = not self.unanswered
+        if self.now >= self.next_urgent and self._send(urgent, users, messages, self.cap, 1.0, go):
+            self.next_urgent = self.now + self.gap
+        if free:
+            self._send(sorted(ordinary, key=lambda row: row[0]), users, messages, self.round_lines, ORDINARY_SHARE, go)
         else:
-            if urgent and self.now >= self.next_urgent and self._room(proxies, len(urgent), 1.0):
-                go += urgent
-                self.next_urgent = self.now + self.gap
-            ordinary = ordinary[: max(1, int(self.round_lines / proxies - self.head))]
-            if ordinary and free and self._room(proxies, len(go) + len(ordinary), ORDINARY_SHARE):
-                go = ordinary + go
-        for order in go:
-            self._take(order)
-        bound = [proxy for proxy in self.sent_at if proxy not in self.unbound] if go else []
-        messages = {proxy: len(go) + self.head for proxy in bound}
-        size = 1 + sum(map(bool, self.line)) + sum(self.shut) + len(self.valve)
-        for proxy in list(self.unbound):
-            if self._waiting() + sum(messages.values()) + size + self.head > self.cap:
+            self._send([row for row in ordinary if row[1] not in users], users, messages, 0.0, ORDINARY_SHARE, go)
+        for proxy, part in self.due_part.items():
+            held = self.held_part.get(proxy)
+            if held == part or (held is not None and not free and any(
+                line and not gone for i, (line, gone) in enumerate(zip(lines, out, strict=True)) if self.part[i] == held
+            )):
+                continue
+            ours = [i for i, p in enumerate(self.part) if p == part]
+            size = 1 + sum(bool(self.line[i]) + self.shut[i] for i in ours) + len(self.valves_wanted) + self.head
+            if self._waiting() + sum(messages.values()) + size > self.cap or not self._may_write(proxy, 1.0):
                 break
-            go.append(face.UseTable(0, TABLE, proxy))
-            del self.unbound[proxy]
-            messages[proxy] = size + self.head
+            go.append(face.UseTable(0, part, proxy))
+            self.held_part[proxy] = part
+            messages[proxy] = messages.get(proxy, 0) + size
         if messages:
             self.marks = self.marks % MARKS + 1
             go.append(face.Mark(False, self.marks))
@@ -508,6 +623,34 @@
                 self.sent_at[proxy].append(self.now)
         self.orders += go
 
+    def _send(self, rows: list, users: dict, messages: dict, most: float, share: float, go: list) -> bool:
+        """Takes the orders that fit, first ones first: so many lines, and this share of the caps."""
+        waiting, used, sent = self._waiting(), sum(messages.values()), False
+        open_parts = {}
+        for _, part, order in rows:
+            proxies = users.get(part, ())
+            if part not in open_parts:
+                open_parts[part] = all(proxy in messages or self._may_write(proxy, share) for proxy in proxies)
+            more = sum(1 if proxy in messages else 1 + self.head for proxy in proxies)
+            first = not sent and share < 1
+            if more and (not open_parts[part] or waiting + used + more > self.cap * share):
+                continue
+            if more and used + more > most and not first:
+                continue
+            for proxy in proxies:
+                messages[proxy] = messages.get(proxy, self.head) + 1
+            used, sent = used + more, True
+            go.append(order)
+            self._take(order)
+        return sent
+
+    def _may_write(self, proxy: int, share: float) -> bool:
+        """Whether one more message keeps the proxy's cap."""
+        sent = self.sent_at[proxy]
+        while sent and sent[0] <= self.now - self.message_span:
+            sent.popleft()
+        return not self.message_cap or len(sent) < self.message_cap * share - 1
+
     def _take(self, order) -> None:
         """An order that goes out is the present state from now on."""
         if isinstance(order, face.SetLine):
@@ -515,22 +658,11 @@
         elif isinstance(order, face.Withdraw):
             self.shut[self.place[order.server]] = order.on
         else:
-            self.valve[order.operations.bit_length() - 1] = (order.level, order.tries)
+            self.valve[order.table, order.operations.bit_length() - 1] = (order.level, order.tries)
 
     def _waiting(self) -> float:
         return sum(lines for _, lines, _ in self.channel)
 
-    def _room(self, proxies: int, lines: int, share: float) -> bool:
-        """Whether a message of so many lines to each proxy keeps the channel's and every proxy's cap."""
-        if self._waiting() + proxies * (lines + self.head) > self.cap * share:
-            return False
-        for sent in self.sent_at.values():
-            while sent and sent[0] <= self.now - self.message_span:
-                sent.popleft()
-            if self.message_cap and len(sent) >= self.message_cap * share - 1:
-                return False
-        return True
-
 
 def weighted_median(pairs: list[tuple[float, float]]) -> float | None:
     """The value at which half of the weight is reached."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,7 +8,7 @@
 
 FACTS = """zones=east,west\naz=0\nme=0\nbalancers=1\nregistryMode=pushed\nweightSource=rough\nreport.how=inline
 invariants.askWithinUs=8000000\ninvariants.coldFrom=0.2\ninvariants.warmWithinUs=15000000\ndomain.admit=share
-invariants.drainGraceUs=2000000\ninvariants.tipMultiple=3\ninvariants.fallUs=2000000\ndomain.queueCap=1500
+invariants.drainGraceUs=2000000\ninvariants.tipMultiple=3\ninvariants.fallUs=2000000\ndomain.queueCap=1500\ndomain.bootstrap=5
 domain.linesPerS=1000\ndomain.perMessage=3\ndomain.transitUs=200000\ndomain.worstTransitUs=500000
 domain.pushesAllowed=30\ndomain.messagesOverUs=10000000\ndomain.emptyForUs=4000000\ndomain.proxies=8
 domain.perTry=1\ndomain.cycleUs=500000\ndomain.hearsPerS=80\nlimits.dialTimeoutUs=200000\nquantumUs=2000
