Strain is told by the good answers' time, against twice the least seen as well as the objective

Told from overload by the answers that do come: under overload they are late. Like a server, the fleet counts as slow at twice its usual time, held between 2/5 and 4/5 of the objective. Also catches: any trouble that makes tries fail quickly. Harm: servers that fail fast under load, with few slow answers.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -22,7 +22,7 @@
 
 from driftshed import interface as face
 
-LONG_AGO = float("-inf")
+LONG_AGO, LONG = float("-inf"), float("inf")
 ANYWHERE = -1  # the zone of the one part of a small fleet
 
 # The design's values. Spans are seconds.
@@ -124,6 +124,7 @@
         self.mix = [1.0 for _ in self.objectives]
         self.demand: dict[int, list[float]] = {}
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
+        self.floor = LONG  # the least that the median server took, rising slowly
         self.knee = 0.0  # the most that was answered a second without strain, fading
         # Answered, of the tries that come and come again for having errored. One that starts amid a jam and
         # has heard nothing yet takes the worst for granted, so that it pushes no cold server over.
@@ -288,7 +289,7 @@
         self.met[i][2] += took
         self.strain[i][0] += heard.tries
         self.strain[i][1] += good
-        self.strain[i][2] += took
+        self.strain[i][2] += good * (heard.latency or 0.0)
         reports = self.reports[heard.zone][i]
         reports.append((self.now, heard.tries, heard.tries - good, heard.latency))
         while reports[0][0] < self.now - VIEW:
@@ -404,13 +405,17 @@
         sick servers move nothing. It also answers a slow thing behind all servers, and harms where that would
         pass by itself. With few servers left it is what keeps the cold ones from being pushed over.
         """
-        took = weighted_median([(total / tries, tries) for tries, _, total in self.strain if tries])
+        took = weighted_median([(total / good, good) for _, good, total in self.strain if good])
         tries, good = sum(row[0] for row in self.strain), sum(row[1] for row in self.strain)
         span, come = self.now - self.strain_from, max(1.0, sum(map(sum, self.demand.values())))
         self._look_afresh()
-        if took is None:
+        if not tries:
             return  # silence is neither strain nor ease
-        pressure = took / (STRAINED * self._objective())
+        took = self._objective() if took is None else took
+        # Work that takes long when nobody waits is no strain: like a server, the fleet is slow at twice its usual.
+        pressure = took / min(2 * STRAINED * self._objective(), max(STRAINED * self._objective(), SLOW_TIMES * self.floor))
+        if pressure <= 1:
+            self.floor = min(took, self.floor / FADE)
         self.knee = max(self.knee * FADE, good / span if pressure * EASED <= 1 else 0.0)
         self.crowding = good / (2 * tries - good)
         if self.valve_owed:
