Where servers tell how busy they are, strain also takes busy cores; strain from 1.5 times the least seen

Cause: levels cut while cores were idle (slow ways, lost answers), and returned too slowly. Late answers from servers with cores to spare are not for want of servers. With that guard the mark can go down to 1.5 times the least seen.

--- a/driftshed/adapter/codec.py
+++ b/driftshed/adapter/codec.py
@@ -145,8 +145,11 @@
 # ---- settings text ------------------------------------------------------------------------------------------
 
 EFFECTS = {"retryable": "idempotent", "dedup": "fingerprinted", "fragile": "side-effecting"}
+LOADS = {"busy_reqs": "in flight", "pending": "queued", "cpu_share": "utilisation", "svc_ms": "service time",
+         "served_ps": "succeeded rate", "failed_ps": "errored rate"}  # fmt: skip
 AMOUNTS = {"seconds": lambda text: int(text) / 1e6, "number": float, "count": lambda text: int(float(text)),
            "word": str, "yes": lambda text: text == "true", "words": lambda text: tuple(text.split(",")),
+           "loads": lambda text: tuple(LOADS.get(word, word) for word in text.split(",")),
            "effect": EFFECTS.__getitem__, "pushed": lambda text: text == "pushed"}  # fmt: skip
 
 # One row a fact, in the order of the interface's fields: the wire's path, how to read it, and what an absent one is.
@@ -158,7 +161,7 @@
 START_FACTS = (
     ("zones", "words", ()), ("hostTypes", "words", ()), ("az", "count", None), ("me", "count", None),
     ("balancers", "count", None), ("registryMode", "pushed", None), ("weightSource", "word", None),
-    ("report.fields", "words", ()), ("report.how", "word", None), ("limits.mayProbe", "yes", False),
+    ("report.fields", "loads", ()), ("report.how", "word", None), ("limits.mayProbe", "yes", False),
     ("limits.peerMessages", "yes", False), ("invariants.fullMayHaveRun", "yes", False),
     ("invariants.onlyDrainingBinds", "yes", False), ("invariants.askWithinUs", "seconds", None),
     ("invariants.coldFrom", "number", None), ("invariants.warmWithinUs", "seconds", None),
--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -44,6 +44,8 @@
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 2 / 5  # the median server takes more than this of the objective: strain
 EASED = 2 / 3  # of that: no strain
+FLOOR_TIMES = 1.5  # or more than this much of the least it took
+BUSY = 0.85  # share of a server's cores in use
 HEADROOM, LEAST_LET_IN = 0.9, 0.1  # what is let in at the most, of what is answered; at the least, of all
 LARGEST_CUT, LARGEST_RISE = 0.6, 1.2  # of what is let in, at a time
 DRAINING, RESUMED, FADE = 0.5, 0.7, 0.97  # of the knee: least let in, let in again when eased, kept each look
@@ -81,6 +83,8 @@
         value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
         self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
         self.levels_by = facts.level_form
+        told = facts.load_fields if facts.load_reports_come == "inline" else ()
+        self.tells_busy = told.index("utilisation") if "utilisation" in told else None
         self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
         self.weighs = facts.listed_weights != "off"
         self.part_lines = PART_LINES * max(1, facts.standing_lines)
@@ -120,6 +124,7 @@
         self.channel: deque[tuple[int, int, float]] = deque()  # mark, lines, when: may still wait there
         self.marks = 0
         # Load: what the servers met since it was last looked at, what comes to each proxy, what is let in.
+        self.busy: list[float | None] = []  # the share of its cores in use, where servers tell it
         self.strain: list[list[float]] = []  # tries, good ones, time of all
         self.mix = [1.0 for _ in self.objectives]
         self.demand: dict[int, list[float]] = {}
@@ -206,6 +211,7 @@
             self.place[entry.server] = len(self.ids)
             self.ids.append(entry.server)
             self.part.append(0)
+            self.busy.append(None)
             for array, value in (
                 (self.state, face.GONE), (self.started, started), (self.listed, 1.0), (self.factor, 1.0),
                 (self.entered, LONG_AGO), (self.out_at, None), (self.line, 0.0), (self.shut, False),
@@ -287,6 +293,8 @@
         self.met[i][0] += heard.tries
         self.met[i][1] += good
         self.met[i][2] += took
+        if self.tells_busy is not None and heard.load:
+            self.busy[i] = heard.load[self.tells_busy]
         self.strain[i][0] += heard.tries
         self.strain[i][1] += good
         self.strain[i][2] += good * (heard.latency or 0.0)
@@ -411,11 +419,17 @@
         self._look_afresh()
         if not tries:
             return  # silence is neither strain nor ease
-        took = self._objective() if took is None else took
-        # Work that takes long when nobody waits is no strain: like a server, the fleet is slow at twice its usual.
-        pressure = took / min(2 * STRAINED * self._objective(), max(STRAINED * self._objective(), SLOW_TIMES * self.floor))
+        objective = self._objective()
+        # Work that takes long when nobody waits is no strain: what the fleet takes at its best counts too.
+        mark = min(2 * STRAINED * objective, max(STRAINED * objective, FLOOR_TIMES * self.floor))
+        pressure = (objective if took is None else took) / mark
+        eased = EASED
+        busy = weighted_median([(share, 1) for share in self.busy if share is not None])
+        if busy is not None:
+            # Late answers from servers that are not busy are not for want of servers: no less would help them.
+            pressure, eased = min(pressure, busy / BUSY), 1.0
         if pressure <= 1:
-            self.floor = min(took, self.floor / FADE)
+            self.floor = min(pressure * mark, self.floor / FADE)
         self.knee = max(self.knee * FADE, good / span if pressure * EASED <= 1 else 0.0)
         self.crowding = good / (2 * tries - good)
         if self.valve_owed:
@@ -429,10 +443,10 @@
                 # In a jam it answers less than it could, so what it did before bounds the cut.
                 bearable = max(HEADROOM * good / span, DRAINING * self.knee) / come
                 self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, bearable, LEAST_LET_IN))
-        elif pressure < EASED and self.let_in < 1:
-            rise = max(self.let_in * EASED / max(pressure, EASED / LARGEST_RISE), RESUMED * self.knee / come)
+        elif pressure < eased and self.let_in < 1:
+            rise = max(self.let_in * eased / max(pressure, eased / LARGEST_RISE), RESUMED * self.knee / come)
             self.let_in = min(1.0, rise)
-        elif pressure < EASED:
+        elif pressure < eased:
             self.tries = face.ONE_AFTER_PROOF
         # Only now: levels that follow every swing of demand would be under way for ever, and never judged.
         self.valves_wanted = self._wanted_valves()
