A cold server bears what a unit of weight was seen to answer, up to two thirds of the tip multiple

Cause: what a cold server may bring was reckoned from what the fleet answers now. Now the best that a unit of weight was seen to answer, fading, says what they bear of the tries that come and come again; known so well it may be two thirds of the tip multiple.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -37,7 +37,7 @@
 
 # Ours.
 SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
-SPARED = 1 / 2  # of the tip multiple: what a cold server may be asked for
+SPARED = 2 / 3  # of the tip multiple: what a cold server may be asked for
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
 LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
 KEPT = 1 / 2  # of what was met, from one solve to the next
@@ -133,7 +133,7 @@
         self.knee = 0.0  # the most that was answered a second without strain, fading
         # Answered, of the tries that come and come again for having errored. One that starts amid a jam and
         # has heard nothing yet takes the worst for granted, so that it pushes no cold server over.
-        self.crowding = 1 / facts.tip_multiple
+        self.crowding, self.unit = 1 / facts.tip_multiple, 0.0
         self.strain_from, self.next_control = now, now + self.control_every
         self.valve_mark, self.valve_owed = 0, {}  # proxies that have not yet answered for the last levels
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
@@ -431,7 +431,10 @@
         if pressure <= 1:
             self.floor = min(pressure * mark, self.floor / FADE)
         self.knee = max(self.knee * FADE, good / span if pressure * EASED <= 1 else 0.0)
-        self.crowding = good / (2 * tries - good)
+        # What a unit of weight was seen to answer tells what a cold one bears of the tries that come, and come again.
+        full = sum(l * f for l, f, s in zip(self.listed, self.factor, self.state, strict=True) if s == face.READY)
+        self.unit = max(self.unit * FADE, good / span / (full or 1.0))
+        self.crowding = min(1.0, self.unit * full * span / (2 * tries - good))
         if self.valve_owed:
             return  # the last levels are still under way
         if pressure > 1:
