--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -432,7 +432,7 @@
             self.floor = min(pressure * mark, self.floor / FADE)
         self.knee = max(self.knee * FADE, good / span if pressure * EASED <= 1 else 0.0)
         # What a unit of weight was seen to answer tells what a cold one bears of the tries that come, and come again.
-        full = sum(l * f for l, f, s in zip(self.listed, self.factor, self.state, strict=True) if s == face.READY)
+        full = sum(self.listed[i] * self.factor[i] for i, state in enumerate(self.state) if state == face.READY)
         self.unit = max(self.unit * FADE, good / span / (full or 1.0))
         self.crowding = min(1.0, self.unit * full * span / (2 * tries - good))
         if self.valve_owed:
