Demand is dealt to the parts by how well they answer each zone, too

Now a part in which a good answer costs a zone over 1.5 times what it does at that zone's best part (an errored try counting as an objective) gets less of that zone's demand, by the square; what is not heard of counts as well again as its record fades. No server is named and the caps stay. Also catches: sick ways between zones, a supervisor's own trouble with some servers where these share a part. Harm: it gathers demand on the parts that look best while reports are late.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -113,8 +113,9 @@
         self.since: list[list[float | None]] = [[] for _ in zones]
         self.renewed: list[list[float]] = [[] for _ in zones]
         self.view: list[list[tuple]] = [[] for _ in zones]  # judged when, times the usual, erred share
-        # Parts of the shared table: the zone of the servers of each.
+        # Parts of the shared table: the zone of the servers of each, and what each zone met there, fading.
         self.part_zone: list[int] = []
+        self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])  # as in `met`
         # Proxies: zone, when each was written to, the part that each should hold and does hold, answers to come.
         self.home: dict[int, int] = {}
         self.sent_at: dict[int, deque] = {}
@@ -290,9 +291,10 @@
             return
         good = heard.tries - min(heard.errored, heard.tries)
         took = good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
-        self.met[i][0] += heard.tries
-        self.met[i][1] += good
-        self.met[i][2] += took
+        for row in self.met[i], self.seen[heard.zone, self.part[i]]:
+            row[0] += heard.tries
+            row[1] += good
+            row[2] += took
         if self.tells_busy is not None and heard.load:
             self.busy[i] = heard.load[self.tells_busy]
         self.strain[i][0] += heard.tries
@@ -398,6 +400,8 @@
             if tries >= TRIES_TO_JUDGE and total > 0
         }
         self.met = [[part * KEPT for part in row] for row in self.met]
+        for row in self.seen.values():
+            row[:] = [part * KEPT for part in row]
         open_ones = [i for i in latency if self.state[i] == face.READY and self.out_at[i] is None]
         if not open_ones:
             return
@@ -560,6 +564,19 @@
                     over[giver] -= rate[proxy]
                     over[taker] += rate[proxy]
 
+    def _answers(self, zone: int, part: int) -> float:
+        """How well a part answers a zone, from 0 to 1. What is not heard of any more counts as well again.
+
+        Guards against a part that a zone cannot reach, or only slowly: a building lost before the list tells, a
+        sick way between zones, a supervisor with trouble of its own. It names no server, and the caps stay.
+        """
+        # The time spent for a good answer, an errored try taking a whole objective, tells both kinds of trouble.
+        rows = [row for (z, _), row in self.seen.items() if z == zone and row[1] >= TRIES_TO_JUDGE]
+        best = min((took / good for _, good, took in rows), default=0.0)
+        _, good, took = self.seen[zone, part]
+        cost = (took + TRIES_TO_JUDGE * best) / (good + TRIES_TO_JUDGE)
+        return min(1.0, FLOOR_TIMES * best / cost) ** 2 if best else 1.0
+
     def _due(self, weight: list[float], rate: dict[int, float]) -> list[list[float]]:
         """What each zone's proxies should bring to each part: in all as the parts weigh, near ones first.
 
@@ -572,7 +589,10 @@
         known = [zone for zone in zones if come[zone]]
         usual = sum(come) / (sum(held[zone] for zone in known) or 1.0)
         come = [each or usual * held[zone] for zone, each in enumerate(come)]
-        pull = [[each * (NEAR if place == zone else 1.0) for each, place in at] for zone in zones]
+        pull = [
+            [each * (NEAR if place == zone else 1.0) * self._answers(zone, p) for p, (each, place) in enumerate(at)]
+            for zone in zones
+        ]
         for _ in range(BALANCING):
             due = [[come[zone] * each / sum(row) for each in row] for zone, row in enumerate(pull)]
             brought = [sum(column) or 1.0 for column in zip(*due, strict=True)]
@@ -621,16 +641,17 @@
             self._send(sorted(ordinary, key=lambda row: row[0]), users, messages, self.round_lines, ORDINARY_SHARE, go)
         else:
             self._send([row for row in ordinary if row[1] not in users], users, messages, 0.0, ORDINARY_SHARE, go)
+        alive = {part for part, line, gone in zip(self.part, lines, out, strict=True) if line and not gone}
         for proxy, part in self.due_part.items():
             held = self.held_part.get(proxy)
-            if held == part or (held is not None and not free and any(
-                line and not gone for i, (line, gone) in enumerate(zip(lines, out, strict=True)) if self.part[i] == held
-            )):
+            moves = held in alive  # the others are joining, or hold a part that has lost all
+            if held == part or (moves and not free):
                 continue
             ours = [i for i, p in enumerate(self.part) if p == part]
             size = 1 + sum(bool(self.line[i]) + self.shut[i] for i in ours) + len(self.valves_wanted) + self.head
-            if self._waiting() + sum(messages.values()) + size > self.cap or not self._may_write(proxy, 1.0):
-                break
+            share = ORDINARY_SHARE if moves else 1.0
+            if self._waiting() + sum(messages.values()) + size > self.cap * share or not self._may_write(proxy, share):
+                continue
             go.append(face.UseTable(0, part, proxy))
             self.held_part[proxy] = part
             messages[proxy] = messages.get(proxy, 0) + size
