--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -5,15 +5,15 @@
 
 The types of facts, events and orders are in `driftshed/interface.py`. The design (docs/design.md) decides the
 ordinary table: zones complain, lasting complaints of enough zones withdraw a server under caps, it returns in
-steps, and ONE table that all proxies share is steered by latency. Mechanisms beside the design, six at most:
+steps, and ONE shared table's weights are steered by latency. Mechanisms beside the design, six at most:
 
  1. Following the list: a draining or gone server loses its line at once, outside the caps.
- 2. Cold servers: no more weight than the capacity that a started server is sure to have by now, and no more
-    of all tries than it bears.
+ 2. Cold servers: no more weight than they are sure to bear by now, and no more of all tries.
  3. Never bare: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go one marked round at a time; room is kept for urgent ones.
- 5. Tries and levels: while the fleet's median server is short of time, further tries are cut first, then what
-    is let in, operations of the least billed value per unit of work first.
+ 5. Tries and levels: while the fleet is short of time, further tries are cut first, then what is let in, operations
+    of the least billed value per unit of work first.
+ 6. Parts: where the shared table is too long for every proxy, it is laid out in parts that proxies are dealt to.
 """
 
 from collections import defaultdict, deque
@@ -21,8 +21,9 @@
 from random import Random
 
 from driftshed import interface as face
+from driftshed.figures import fair_rate, median, weighted_median
 
-LONG_AGO, LONG = float("-inf"), float("inf")
+LONG_AGO = float("-inf")
 ANYWHERE = -1  # the zone of the one part of a small fleet
 
 # The design's values. Spans are seconds.
@@ -44,7 +45,7 @@
 VIEW = LASTING / 2  # a zone's median is over the reports of this long
 STRAINED = 2 / 5  # the median server takes more than this of the objective: strain
 EASED = 2 / 3  # of that: no strain
-FLOOR_TIMES = 1.5  # or more than this much of the least it took
+LONGER = 1.5  # or more than this much of the least it took; of the time at the best part
 BUSY = 0.85  # share of a server's cores in use
 HEADROOM, LEAST_LET_IN = 0.9, 0.1  # what is let in at the most, of what is answered; at the least, of all
 LARGEST_CUT, LARGEST_RISE = 0.6, 1.2  # of what is let in, at a time
@@ -93,55 +94,41 @@
         # until they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
         self.leak = LEAK if self.weighs else 0.0
         zones = range(len(facts.zones))
-        # Servers: parallel arrays under a dense index.
+        # Servers: parallel arrays under a dense index; met: tries, good ones, time of all, fading from solve to
+        # solve; strain: the same since the last look, good ones' time alone; line, shut: present weight, withdrawn.
         self.place: dict[bytes, int] = {}
-        self.ids: list[bytes] = []
-        self.kind: list[int] = []
-        self.state: list[int] = []
-        self.started: list[float] = []
-        self.listed: list[float] = []  # listed weight
-        self.factor: list[float] = []  # learnt, beside the listed weight
-        self.entered: list[float] = []  # when its steps began
+        self.ids, self.kind, self.state, self.started, self.entered = [], [], [], [], []
+        self.listed, self.factor = [], []  # listed weight, and what was learnt beside it
         self.out_at: list[float | None] = []  # withdrawn for health since
-        self.met: list[list[float]] = []  # tries, good ones, time of all: fading from solve to solve
-        self.part: list[int] = []  # which part of the shared table has its line
-        self.line: list[float] = []  # present: weight of its line, 0 for none
-        self.shut: list[bool] = []  # present: withdrawn
-        # What each zone says of each server.
-        self.reports: list[list[deque]] = [[] for _ in zones]
-        self.baseline: list[list[float | None]] = [[] for _ in zones]
-        self.since: list[list[float | None]] = [[] for _ in zones]
-        self.renewed: list[list[float]] = [[] for _ in zones]
-        self.view: list[list[tuple]] = [[] for _ in zones]  # judged when, times the usual, erred share
-        # Parts of the shared table: the zone of the servers of each, and what each zone met there, fading.
+        self.met, self.strain, self.busy = [], [], []
+        self.part, self.line, self.shut = [], [], []
+        # What each zone says of each server; view: judged when, times the usual, erred share.
+        self.reports, self.baseline, self.since, self.renewed, self.view = ([[] for _ in zones] for _ in range(5))
+        # Parts of the shared table: the zone of the servers of each, what each zone met there (as in met), and
+        # the withdrawals of late.
         self.part_zone: list[int] = []
-        self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])  # as in `met`
-        # Proxies: zone, when each was written to, the part that each should hold and does hold, answers to come.
+        self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
+        self.spent: dict[int, deque] = defaultdict(deque)
+        # Proxies: zone, what comes, when each was written to, the part it should hold and does hold, the mark
+        # that it still has to answer, those still to answer for the last levels.
         self.home: dict[int, int] = {}
+        self.demand: dict[int, list[float]] = {}
         self.sent_at: dict[int, deque] = {}
-        self.due_part: dict[int, int] = {}
-        self.held_part: dict[int, int] = {}
-        self.unanswered: dict[int, int] = {}
+        self.due_part, self.held_part, self.unanswered, self.valve_owed = {}, {}, {}, {}
         self.channel: deque[tuple[int, int, float]] = deque()  # mark, lines, when: may still wait there
-        self.marks = 0
-        # Load: what the servers met since it was last looked at, what comes to each proxy, what is let in.
-        self.busy: list[float | None] = []  # the share of its cores in use, where servers tell it
-        self.strain: list[list[float]] = []  # tries, good ones, time of all
+        self.marks = self.valve_mark = 0
         self.mix = [1.0 for _ in self.objectives]
-        self.demand: dict[int, list[float]] = {}
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
-        self.floor = LONG  # the least that the median server took, rising slowly
-        self.knee = 0.0  # the most that was answered a second without strain, fading
-        # Answered, of the tries that come and come again for having errored. One that starts amid a jam and
-        # has heard nothing yet takes the worst for granted, so that it pushes no cold server over.
-        self.crowding, self.unit = 1 / facts.tip_multiple, 0.0
+        # The least that the median server took, rising slowly; the most that was answered a second without
+        # strain, fading; and by a unit of weight.
+        self.floor, self.knee, self.unit = float("inf"), 0.0, 0.0
+        # What a unit of weight answers, of the tries that come and come again. One that starts amid a jam and has
+        # heard nothing yet takes the worst for granted, so that it pushes no cold server over.
+        self.crowding = 1 / facts.tip_multiple
         self.strain_from, self.next_control = now, now + self.control_every
-        self.valve_mark, self.valve_owed = 0, {}  # proxies that have not yet answered for the last levels
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: dict[tuple[int, int], tuple] = {}  # present, by part and operation: level and tries
-        self.spent: dict[int, deque] = defaultdict(deque)  # withdrawals of late, by part
-        self.next_solve = now + SOLVE_EVERY
-        self.next_urgent = LONG_AGO
+        self.next_solve, self.next_urgent = now + SOLVE_EVERY, LONG_AGO
         self.next_ask = now if self.asks else None
         self.next_tick = self.next_deal = now
         self.first_list = True
@@ -208,18 +195,14 @@
         started = LONG_AGO if entry.started is None else entry.started
         new = entry.server not in self.place
         if new:
-            self.kind.append(entry.kind)
             self.place[entry.server] = len(self.ids)
-            self.ids.append(entry.server)
-            self.part.append(0)
-            self.busy.append(None)
             for array, value in (
-                (self.state, face.GONE), (self.started, started), (self.listed, 1.0), (self.factor, 1.0),
-                (self.entered, LONG_AGO), (self.out_at, None), (self.line, 0.0), (self.shut, False),
+                (self.ids, entry.server), (self.kind, entry.kind), (self.state, face.GONE), (self.started, started),
+                (self.entered, LONG_AGO), (self.listed, 1.0), (self.factor, 1.0), (self.out_at, None),
+                (self.met, [0.0] * 3), (self.strain, [0.0] * 3), (self.busy, None), (self.part, 0),
+                (self.line, 0.0), (self.shut, False),
             ):  # fmt: skip
                 array.append(value)
-            self.met.append([0.0, 0.0, 0.0])
-            self.strain.append([0.0, 0.0, 0.0])
             for zone in range(len(self.reports)):
                 self.reports[zone].append(deque())
                 self.baseline[zone].append(None)
@@ -235,20 +218,25 @@
                 # One that starts now begins with what its kind has learnt, not with an average part.
                 alike = (entry.kind, face.READY)
                 kin = [k for k, kind in enumerate(self.kind) if k != i and (kind, self.state[k]) == alike]
-                self.factor[i] = weighted_median([(self.factor[k], 1) for k in kin]) or 1.0
+                self.factor[i] = median([self.factor[k] for k in kin]) or 1.0
         self.state[i], self.started[i] = entry.state, max(started, self.started[i])
         if self.weighs and entry.weight > 0:
             self.listed[i] = entry.weight
 
     def _part_for(self, entry) -> int:
         """Where a server goes: to the part of its zone with the fewest of its kind, then with the least weight."""
-        parts = [p for p, zone in enumerate(self.part_zone) if zone == entry.zone] or range(len(self.part_zone))
-        alike, weight = [0] * len(self.part_zone), [0.0] * len(self.part_zone)
-        for i, part in enumerate(self.part):
-            if self.state[i] == face.READY:
-                alike[part] += self.kind[i] == entry.kind
-                weight[part] += self.listed[i]
-        return min(parts, key=lambda p: (alike[p], weight[p]))
+        members = self._members()
+        parts = [p for p, zone in enumerate(self.part_zone) if zone == entry.zone] or range(len(members))
+        alike = [sum(self.kind[i] == entry.kind for i in servers) for servers in members]
+        return min(parts, key=lambda p: (alike[p], sum(self.listed[i] for i in members[p])))
+
+    def _members(self) -> list[list[int]]:
+        """The ready servers of each part."""
+        members: list[list[int]] = [[] for _ in self.part_zone]
+        for i, state in enumerate(self.state):
+            if state == face.READY:
+                members[self.part[i]].append(i)
+        return members
 
     def _enter(self, i: int, at: float) -> None:
         """A new, restarted or returned server begins its steps with nothing held against it."""
@@ -290,16 +278,16 @@
         if i is None or not heard.tries or heard.zone >= len(self.reports):
             return
         good = heard.tries - min(heard.errored, heard.tries)
-        took = good * (heard.latency or 0.0) + (heard.tries - good) * self._objective()
-        for row in self.met[i], self.seen[heard.zone, self.part[i]]:
+        took = good * (heard.latency or 0.0)
+        lost = (heard.tries - good) * self._objective()
+        for row, time in (
+            (self.met[i], took + lost), (self.seen[heard.zone, self.part[i]], took + lost), (self.strain[i], took),
+        ):  # fmt: skip
             row[0] += heard.tries
             row[1] += good
-            row[2] += took
+            row[2] += time
         if self.tells_busy is not None and heard.load:
             self.busy[i] = heard.load[self.tells_busy]
-        self.strain[i][0] += heard.tries
-        self.strain[i][1] += good
-        self.strain[i][2] += good * (heard.latency or 0.0)
         reports = self.reports[heard.zone][i]
         reports.append((self.now, heard.tries, heard.tries - good, heard.latency))
         while reports[0][0] < self.now - VIEW:
@@ -311,27 +299,24 @@
         if tries < TRIES_TO_JUDGE:
             return
         erred = sum(report[2] for report in reports) / tries
-        median = weighted_median([(report[3], report[1] - report[2]) for report in reports if report[3]])
+        took = weighted_median([(report[3], report[1] - report[2]) for report in reports if report[3]])
         usual = self.baseline[zone][i]
-        slow = median / usual if median is not None and usual else 0.0
+        slow = took / usual if took is not None and usual else 0.0
         self.view[zone][i] = (self.now, slow, erred)
         # Guards against naming the noisiest in a fleet-wide trouble (overload, a slow thing behind all): what
         # a zone meets at most of its servers names none. It would miss half of a fleet that fails together.
         views = [view for view in self.view[zone] if view[0] > self.now - VIEW]
-        fleet_slow = max(1.0, weighted_median([(view[1], 1) for view in views]))
-        fleet_erred = weighted_median([(view[2], 1) for view in views])
-        late = median is not None and median > SLOW_OVER * self._objective()
-        errs = erred > max(ERRED_SHARE, SLOW_TIMES * fleet_erred)
-        if (late and slow > SLOW_TIMES * fleet_slow) or errs:
-            if self.since[zone][i] is None:
-                self.since[zone][i] = self.now
+        late = took is not None and took > SLOW_OVER * self._objective()
+        late = late and slow > SLOW_TIMES * max(1.0, median([view[1] for view in views]))
+        if late or erred > max(ERRED_SHARE, SLOW_TIMES * median([view[2] for view in views])):
+            self.since[zone][i] = self.now if self.since[zone][i] is None else self.since[zone][i]
             self.renewed[zone][i] = self.now
             return
         self.since[zone][i] = None
-        if median is not None and slow <= SLOW_TIMES and erred <= ERRED_SHARE:
+        if took is not None and slow <= SLOW_TIMES and erred <= ERRED_SHARE:
             # While it is slow or errs the baseline stays: a lasting slowness never becomes usual.
             share = min(1.0, self.tick / BASELINE_OVER)
-            self.baseline[zone][i] = median if usual is None else usual + share * (median - usual)
+            self.baseline[zone][i] = took if usual is None else usual + share * (took - usual)
 
     def _hear_demand(self, demand: face.Demand) -> None:
         if demand.proxy in self.sent_at and demand.window > 0 and demand.operation < len(self.mix):
@@ -350,7 +335,8 @@
 
     def _judge(self) -> None:
         """The design's withdrawals and returns."""
-        ready = [i for i in range(len(self.ids)) if self.state[i] == face.READY]
+        members = self._members()
+        ready = [i for servers in members for i in servers]
         for i in ready:
             if self.out_at[i] is not None and self.now - self.out_at[i] >= OUT_FOR:
                 self._enter(i, self.now)
@@ -364,22 +350,19 @@
                     named.append((min(self.since[zone][i] for zone in naming), i))
         for _, i in sorted(named):  # the longest complained of first
             # A part is what a whole small fleet is: the design's caps hold in each.
-            part = [k for k in ready if self.part[k] == self.part[i]]
-            out, spent = sum(self.out_at[k] is not None for k in part), self.spent[self.part[i]]
+            part, spent = members[self.part[i]], self.spent[self.part[i]]
+            out = sum(self.out_at[k] is not None for k in part)
             while spent and spent[0] <= self.now - BUDGET_SPAN:
                 spent.popleft()
-            if out + 1 > min(MOST_OUT, int(len(part) * MOST_OUT_SHARE)) or len(spent) >= BUDGET:
-                continue
-            if not any(self._warm(k) and self.out_at[k] is None for k in part if k != i):
+            others = any(self._warm(k) and self.out_at[k] is None for k in part if k != i)
+            if out + 1 > min(MOST_OUT, int(len(part) * MOST_OUT_SHARE)) or len(spent) >= BUDGET or not others:
                 continue
             self.out_at[i] = self.now
             spent.append(self.now)
-            said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} erred" for _, slow, erred in self._views_of(i))
+            views = [self.view[zone][i] for zone in range(len(self.view))]
+            said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} erred" for at, slow, erred in views if at > LONG_AGO)
             self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
 
-    def _views_of(self, i: int) -> list[tuple[float, float, float]]:
-        return [view[i] for view in self.view if view[i][0] > self.now - LAPSE]
-
     def _names(self, zone: int, i: int) -> bool:
         since = self.since[zone][i]
         if since is not None and self.renewed[zone][i] < self.now - LAPSE:
@@ -387,35 +370,27 @@
         # Guards against a server that answers next to nothing and holds what it takes until clients give
         # up: it needs less patience than a late one. Not under strain, when weak servers look dead.
         dead = self.view[zone][i][2] >= DEAD_SHARE and self.tries != face.NO_TRY
-        lasting = LASTING / 2 if dead else LASTING
-        return since is not None and self.now - since >= lasting
+        return since is not None and self.now - since >= LASTING * (1 / 2 if dead else 1)
 
     def _solve(self) -> None:
         """The companion: each weight one step toward equal latency."""
         # Guards against a server that keeps or draws work by failing: an errored try adds a whole objective
         # to what the answered ones took. It also turns work from a weak server whose answers come too late.
-        latency = {
-            i: total / max(1.0, good)
-            for i, (tries, good, total) in enumerate(self.met)
-            if tries >= TRIES_TO_JUDGE and total > 0
-        }
-        self.met = [[part * KEPT for part in row] for row in self.met]
-        for row in self.seen.values():
+        enough = {i: row for i, row in enumerate(self.met) if row[0] >= TRIES_TO_JUDGE and row[2] > 0}
+        latency = {i: took / max(1.0, good) for i, (_, good, took) in enough.items()}
+        for row in [*self.met, *self.seen.values()]:
             row[:] = [part * KEPT for part in row]
         open_ones = [i for i in latency if self.state[i] == face.READY and self.out_at[i] is None]
-        if not open_ones:
-            return
-        median = weighted_median([(latency[i], 1) for i in open_ones])
+        usual = median([latency[i] for i in open_ones])
         for i in open_ones:
-            step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, (median / latency[i]) ** DAMPED))
+            step = min(1 + SOLVE_STEP, max(1 - SOLVE_STEP, (usual / latency[i]) ** DAMPED))
             self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] ** (1 - self.leak) * step))
 
     def _control(self) -> None:
         """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats.
 
-        The median server tells, an errored try counting as one that took its whole objective, so that single
-        sick servers move nothing. It also answers a slow thing behind all servers, and harms where that would
-        pass by itself. With few servers left it is what keeps the cold ones from being pushed over.
+        The median server's good answers tell, so that single sick servers, and tries that fail at once, move
+        nothing. It also answers a slow thing behind all servers, and harms where that would pass by itself.
         """
         took = weighted_median([(total / good, good) for _, good, total in self.strain if good])
         tries, good = sum(row[0] for row in self.strain), sum(row[1] for row in self.strain)
@@ -424,19 +399,18 @@
         if not tries:
             return  # silence is neither strain nor ease
         objective = self._objective()
+        took = objective if took is None else took
         # Work that takes long when nobody waits is no strain: what the fleet takes at its best counts too.
-        mark = min(2 * STRAINED * objective, max(STRAINED * objective, FLOOR_TIMES * self.floor))
-        pressure = (objective if took is None else took) / mark
-        eased = EASED
-        busy = weighted_median([(share, 1) for share in self.busy if share is not None])
+        pressure = took / min(2 * STRAINED * objective, max(STRAINED * objective, LONGER * self.floor))
+        busy, eased = median([share for share in self.busy if share is not None]), EASED
+        if pressure <= 1:
+            self.floor = min(took, self.floor / FADE)
         if busy is not None:
             # Late answers from servers that are not busy are not for want of servers: no less would help them.
             pressure, eased = min(pressure, busy / BUSY), 1.0
-        if pressure <= 1:
-            self.floor = min(pressure * mark, self.floor / FADE)
         self.knee = max(self.knee * FADE, good / span if pressure * EASED <= 1 else 0.0)
-        # What a unit of weight was seen to answer tells what a cold one bears of the tries that come, and come again.
-        full = sum(self.listed[i] * self.factor[i] for i, state in enumerate(self.state) if state == face.READY)
+        # The best that a unit of weight was seen to answer tells what a cold one bears, also in a jam.
+        full = self._full()
         self.unit = max(self.unit * FADE, good / span / (full or 1.0))
         self.crowding = min(1.0, self.unit * full * span / (2 * tries - good))
         if self.valve_owed:
@@ -458,6 +432,9 @@
         # Only now: levels that follow every swing of demand would be under way for ever, and never judged.
         self.valves_wanted = self._wanted_valves()
 
+    def _full(self) -> float:
+        return sum(self.listed[i] * self.factor[i] for i, state in enumerate(self.state) if state == face.READY)
+
     def _look_afresh(self) -> None:
         self.strain = [[0.0, 0.0, 0.0] for _ in self.ids]
         self.strain_from, self.next_control = self.now, self.now + self.control_every
@@ -471,29 +448,24 @@
         dear_part = (self.let_in * (cheap + dear) - cheap_part * cheap) / dear if dear > 0 else 1.0
         for k, is_cheap in enumerate(self.cheap):
             part = min(1.0, cheap_part if is_cheap else max(LEAST_LET_IN, dear_part))
-            level = self.all_in
-            if self.let_in < 1 and part < 1:
-                level = part if self.levels_by == "share" else fair_rate(rates[k], part)
-            valves.append((level, self.tries))
+            level = part if self.levels_by == "share" else fair_rate(rates[k], part)
+            valves.append((level if self.let_in < 1 and part < 1 else self.all_in, self.tries))
         return valves
 
     def _wanted_lines(self) -> list[float]:
         """The weight that each server's line should have now; 0 for no line."""
         wanted = [0.0] * len(self.ids)
-        members: list[list[int]] = [[] for _ in self.part_zone]
-        for i, state in enumerate(self.state):
-            if state == face.READY:
-                members[self.part[i]].append(i)
-        ready = [i for part in members for i in part]
+        members = self._members()
+        ready = [i for servers in members for i in servers]
         entry = sum(self.listed[i] for i in ready) / max(1, len(ready)) * ENTRY_PART
-        full = sum(self.listed[i] * self.factor[i] for i in ready)
-        brought = self._brought()
+        full, brought = self._full(), [0.0] * len(members)
+        for proxy, part in self.due_part.items():
+            brought[part] += sum(self.demand[proxy])
         for part, servers in enumerate(members):
             steps = {i: min(99.0, (self.now - self.entered[i]) // ENTRY_STEP) for i in servers}
             whole = sum(self.listed[i] for i in servers)
-            settled = sum(
-                self.listed[i] for i in servers if ENTRY_PART * 2 ** steps[i] >= 1 and self.out_at[i] is None
-            )
+            inside = [i for i in servers if ENTRY_PART * 2 ** steps[i] >= 1 and self.out_at[i] is None]
+            settled = sum(self.listed[i] for i in inside)
             for i in servers:
                 wanted[i] = self.listed[i] * self.factor[i]
                 # Steps presume others that carry the rest. With most of the part still entering they would push
@@ -524,18 +496,9 @@
         safe = {self.part[i] for i in range(len(out)) if self._warm(i) and not out[i]}
         return [shut and self.part[i] in safe for i, shut in enumerate(out)]
 
-    def _brought(self) -> list[float]:
-        """What comes to the proxies of each part."""
-        brought = [0.0] * len(self.part_zone)
-        for proxy, part in self.due_part.items():
-            brought[part] += sum(self.demand[proxy])
-        return brought
-
     def _deal(self, lines: list[float], out: list[bool]) -> None:
-        """Which part of the shared table each proxy should hold: demand follows the parts' weight, near ones first.
-
-        Guards against a part that is asked for more than its servers do, or has lost them all.
-        """
+        """Which part each proxy should hold. Guards against a part that is asked for more than its servers do,
+        or has lost them all."""
         weight = [0.0] * len(self.part_zone)
         for i, line in enumerate(lines):
             weight[self.part[i]] += 0.0 if out[i] else line
@@ -547,22 +510,21 @@
         rate = {proxy: sum(self.demand[proxy]) for proxy in self.home}
         due = self._due(weight, rate)
         for zone in sorted(set(self.home.values())):
+            mine = sorted((p for p, home in self.home.items() if home == zone), key=lambda p: (-rate[p], p))
             over = [-each for each in due[zone]]
-            mine = sorted((proxy for proxy, home in self.home.items() if home == zone), key=lambda p: (-rate[p], p))
+            for proxy in set(mine) - lost:
+                over[self.due_part[proxy]] += rate[proxy]
             for proxy in mine:
+                taker = min((p for p, w in enumerate(weight) if w), key=lambda p: over[p] / (due[zone][p] or 1e-9))
+                giver = self.due_part.get(proxy)
                 if proxy not in lost:
-                    over[self.due_part[proxy]] += rate[proxy]
-            for proxy in mine:
-                if proxy in lost:
-                    part = min((p for p, w in enumerate(weight) if w), key=lambda p: over[p] / (due[zone][p] or 1e-9))
-                    self.due_part[proxy] = part
-                    over[part] += rate[proxy]
-            for proxy in mine if even else ():
-                giver, taker = self.due_part[proxy], over.index(min(over))
-                if over[giver] > UNEVEN * due[zone][giver] and rate[proxy] <= min(over[giver], -over[taker]):
-                    self.due_part[proxy] = taker
+                    taker = over.index(min(over))
+                    fits = rate[proxy] <= min(over[giver], -over[taker])
+                    if not even or not fits or over[giver] <= UNEVEN * due[zone][giver]:
+                        continue
                     over[giver] -= rate[proxy]
-                    over[taker] += rate[proxy]
+                self.due_part[proxy] = taker
+                over[taker] += rate[proxy]
 
     def _answers(self, zone: int, part: int) -> float:
         """How well a part answers a zone, from 0 to 1. What is not heard of any more counts as well again.
@@ -575,7 +537,7 @@
         best = min((took / good for _, good, took in rows), default=0.0)
         _, good, took = self.seen[zone, part]
         cost = (took + TRIES_TO_JUDGE * best) / (good + TRIES_TO_JUDGE)
-        return min(1.0, FLOOR_TIMES * best / cost) ** 2 if best else 1.0
+        return min(1.0, LONGER * best / cost) ** 2 if best else 1.0
 
     def _due(self, weight: list[float], rate: dict[int, float]) -> list[list[float]]:
         """What each zone's proxies should bring to each part: in all as the parts weigh, near ones first.
@@ -637,10 +599,8 @@
         free = not self.unanswered
         if self.now >= self.next_urgent and self._send(urgent, users, messages, self.cap, 1.0, go):
             self.next_urgent = self.now + self.gap
-        if free:
-            self._send(sorted(ordinary, key=lambda row: row[0]), users, messages, self.round_lines, ORDINARY_SHARE, go)
-        else:
-            self._send([row for row in ordinary if row[1] not in users], users, messages, 0.0, ORDINARY_SHARE, go)
+        rows = sorted((row for row in ordinary if free or row[1] not in users), key=lambda row: row[0])
+        self._send(rows, users, messages, self.round_lines, ORDINARY_SHARE, go)
         alive = {part for part, line, gone in zip(self.part, lines, out, strict=True) if line and not gone}
         for proxy, part in self.due_part.items():
             held = self.held_part.get(proxy)
@@ -707,27 +667,6 @@
         return sum(lines for _, lines, _ in self.channel)
 
 
-def weighted_median(pairs: list[tuple[float, float]]) -> float | None:
-    """The value at which half of the weight is reached."""
-    pairs = sorted(pair for pair in pairs if pair[1] > 0)
-    half = sum(weight for _, weight in pairs) / 2
-    for value, weight in pairs:
-        half -= weight
-        if half <= 0:
-            return value
-    return None
-
-
-def fair_rate(rates: list[float], part: float) -> float:
-    """The rate that lets this part of all in when no proxy may have more; the rates come in rising order."""
-    left = part * sum(rates)
-    for k, rate in enumerate(rates):
-        if rate * (len(rates) - k) >= left:
-            return left / (len(rates) - k)
-        left -= rate
-    return rates[-1] if rates else 0.0
-
-
 HEAR = {
     face.Listing: Brain._hear_listing,
     face.Joined: Brain._hear_joined,
