--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -11,9 +11,9 @@
  2. Cold servers: no more weight than they are sure to bear by now, and no more of all tries.
  3. Never bare: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go one marked round at a time; room is kept for urgent ones.
- 5. Tries and levels: while the fleet is short of time, further tries are cut first, then what is let in, operations
-    of the least billed value per unit of work first.
- 6. Parts: where the shared table is too long for every proxy, it is laid out in parts that proxies are dealt to.
+ 5. Tries and levels: while the fleet is short of time, further tries are cut first, then what is let in, the
+    operations of least billed value per unit of work first.
+ 6. Parts: where the shared table is too long, it is laid out in parts that the proxies are dealt to.
 """
 
 from collections import defaultdict, deque
@@ -33,6 +33,7 @@
 BUDGET, BUDGET_SPAN = 5, 30.0  # withdrawals
 OUT_FOR = 10.0
 ENTRY_PART, ENTRY_STEP = 0.1, 2.0  # of the average weight, doubling every step
+STEPS_IN = 4  # steps until it has its whole part
 SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR = 3.0, 0.2, 0.5, 2.0
 WORTH_SENDING = 0.1  # of the weight that stands
 
@@ -49,18 +50,17 @@
 BUSY = 0.85  # share of a server's cores in use
 HEADROOM, LEAST_LET_IN = 0.9, 0.1  # what is let in at the most, of what is answered; at the least, of all
 LARGEST_CUT, LARGEST_RISE = 0.6, 1.2  # of what is let in, at a time
-DRAINING, RESUMED, FADE = 0.5, 0.7, 0.97  # of the knee: least let in, let in again when eased, kept each look
+FADE = 0.97  # of the best that was seen, from look to look
 SPARE_TRIES = 0.05  # beyond the first, of what comes
 CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
-MARKS, MARKS_AHEAD = 65534, 1000  # numbers of marks; one up to so far ahead of another came later
+MARKS = 65534  # as many numbers as marks have
 DEAD_SHARE = 0.9  # of the tries err: complaints of it count in half the time
 TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is for the urgent
-PART_LINES, PROXIES_A_PART = 2, 5  # standing tables' lines in a part of the shared table; proxies that share it
-NEAR = 4.0  # what a part of the proxy's own zone counts for
+PART_LINES, PROXIES_A_PART = 2, 5  # standing tables' lines in a part; proxies that share it at the least
+NEAR, UNEVEN = 4.0, 0.2  # what a part of the own zone counts for; beyond its due a part gives proxies away
 BALANCING = 4  # rounds that bring what zones bring to the parts in line with their weight
-UNEVEN = 0.2  # of its due: a part with so much more gives a proxy away
 
 
 class Brain:
@@ -68,71 +68,64 @@
         self.random = Random(seed)
         self.now = now
         # What the facts come down to.
-        self.asks = not facts.list_is_pushed
-        self.ask_again = facts.ask_within / 8
+        self.ask_again, self.weighs = facts.ask_within / 8, facts.listed_weights != "off"
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
-        self.spare = facts.tip_multiple * SPARED
+        self.spare, self.cap = facts.tip_multiple * SPARED, facts.queue_cap
         self.head = facts.lines_per_message + 1  # and the mark
-        self.cap = facts.queue_cap
-        self.all_in = 1.0 if facts.level_form == "share" else float(2**30)  # a level that stops nothing
         self.round_lines = ORDINARY_SHARE * min(self.cap, facts.lines_per_second * facts.drain_grace)
         self.message_cap, self.message_span = facts.message_cap, facts.message_span
         self.gap = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
         self.patience = 4 * facts.worst_transit + 8 * facts.queue_cap / facts.lines_per_second
         self.tick = facts.report_period / 2
+        self.learns = min(1.0, self.tick / BASELINE_OVER)
         self.objectives = [operation.latency_objective for operation in facts.operations]
         value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
         self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
         self.levels_by = facts.level_form
+        self.all_in = 1.0 if self.levels_by == "share" else float(2**30)  # a level that stops nothing
         told = facts.load_fields if facts.load_reports_come == "inline" else ()
         self.tells_busy = told.index("utilisation") if "utilisation" in told else None
         self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
-        self.weighs = facts.listed_weights != "off"
         self.part_lines = PART_LINES * max(1, facts.standing_lines)
         self.most_parts = facts.proxies / max(1, facts.supervisors) / PROXIES_A_PART
         # Guards against steering all work to the fastest while nobody is busy: their latency does not answer
         # until they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
         self.leak = LEAK if self.weighs else 0.0
         zones = range(len(facts.zones))
-        # Servers: parallel arrays under a dense index; met: tries, good ones, time of all, fading from solve to
-        # solve; strain: the same since the last look, good ones' time alone; line, shut: present weight, withdrawn.
+        # Servers: parallel arrays under a dense index. Factor: learnt, beside the listed weight; out_at: out
+        # for health since; met: tries, good ones, time of all, fading from solve to solve; strain: the same
+        # since the last look, good ones' time alone; line, shut: present weight, present withdrawal.
         self.place: dict[bytes, int] = {}
-        self.ids, self.kind, self.state, self.started, self.entered = [], [], [], [], []
-        self.listed, self.factor = [], []  # listed weight, and what was learnt beside it
-        self.out_at: list[float | None] = []  # withdrawn for health since
-        self.met, self.strain, self.busy = [], [], []
+        self.ids, self.kind, self.state, self.started, self.entered, self.out_at = [], [], [], [], [], []
+        self.listed, self.factor, self.met, self.strain, self.busy = [], [], [], [], []
         self.part, self.line, self.shut = [], [], []
         # What each zone says of each server; view: judged when, times the usual, erred share.
-        self.reports, self.baseline, self.since, self.renewed, self.view = ([[] for _ in zones] for _ in range(5))
-        # Parts of the shared table: the zone of the servers of each, what each zone met there (as in met), and
-        # the withdrawals of late.
+        says = [[[] for _ in zones] for _ in range(5)]
+        self.reports, self.baseline, self.since, self.renewed, self.view = says
+        # Parts: the zone of the servers of each, what each zone met there (as in met), withdrawals of late.
         self.part_zone: list[int] = []
         self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.spent: dict[int, deque] = defaultdict(deque)
-        # Proxies: zone, what comes, when each was written to, the part it should hold and does hold, the mark
-        # that it still has to answer, those still to answer for the last levels.
+        # Proxies: zone, what comes, when written to, the part it should hold and does hold, the mark that it
+        # has yet to answer; and the channel: mark, lines, when.
         self.home: dict[int, int] = {}
         self.demand: dict[int, list[float]] = {}
         self.sent_at: dict[int, deque] = {}
-        self.due_part, self.held_part, self.unanswered, self.valve_owed = {}, {}, {}, {}
-        self.channel: deque[tuple[int, int, float]] = deque()  # mark, lines, when: may still wait there
-        self.marks = self.valve_mark = 0
+        self.due_part, self.held_part, self.unanswered = {}, {}, {}
+        self.channel: deque[tuple[int, int, float]] = deque()
+        self.marks, self.levels_under_way = 0, False
         self.mix = [1.0 for _ in self.objectives]
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
-        # The least that the median server took, rising slowly; the most that was answered a second without
-        # strain, fading; and by a unit of weight.
-        self.floor, self.knee, self.unit = float("inf"), 0.0, 0.0
-        # What a unit of weight answers, of the tries that come and come again. One that starts amid a jam and has
-        # heard nothing yet takes the worst for granted, so that it pushes no cold server over.
-        self.crowding = 1 / facts.tip_multiple
+        # The least that the median server took, rising slowly; the most that a unit of weight answered,
+        # fading; that against the tries that come and come again. One that starts blind takes the worst for granted.
+        self.floor, self.unit, self.crowding = float("inf"), 0.0, 1 / facts.tip_multiple
         self.strain_from, self.next_control = now, now + self.control_every
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: dict[tuple[int, int], tuple] = {}  # present, by part and operation: level and tries
-        self.next_solve, self.next_urgent = now + SOLVE_EVERY, LONG_AGO
-        self.next_ask = now if self.asks else None
+        self.next_ask = None if facts.list_is_pushed else now
         self.next_tick = self.next_deal = now
-        self.first_list = True
-        self.orders: list = []
+        self.next_solve, self.next_urgent = now + SOLVE_EVERY, LONG_AGO
+        self.first_list, self.orders = True, []
 
     # ---- what is heard
 
@@ -140,13 +133,14 @@
         self.now = now
         self.orders = []
         for event in events:
-            hear = HEAR.get(type(event))
-            if hear:
-                hear(self, event)
+            getattr(self, f"_hear_{type(event).__name__.lower()}", lambda _: None)(event)
         if self.next_ask is not None and now >= self.next_ask:
             # An ask that fails or goes unanswered is made again, each instance at its own moment.
             self.orders.append(face.Subscribe(True))
             self.next_ask = now + self.ask_again * self.random.uniform(2, 3)
+        if self.levels_under_way and not self.unanswered:
+            self.levels_under_way = False
+            self._look_afresh()  # what is heard from now on tells of the levels in force
         if now >= self.next_tick:
             self.next_tick = now + self.tick
             self.orders.append(face.SetTimer(0, self.next_tick))
@@ -176,18 +170,16 @@
             self._divide([entry for entry in listing.entries if entry.state == face.READY])
         for entry in listing.entries:
             self._list(entry)
-        self.first_list = self.first_list and not listing.entries
+        self.first_list = False
 
     def _divide(self, ready: list) -> None:
-        """The parts of the shared table: as many of each zone as its servers fill.
-
-        Guards against a fleet whose whole table no proxy can be sent in time: every proxy with a line to every
-        server costs connections, lines and messages by the product of both. A small fleet is one part.
-        """
+        """The parts of the shared table. Guards against a whole one that no proxy can be sent in time: a line
+        to every server at every proxy costs connections, lines and messages by the product of both."""
         fits = max(self.part_lines, len(ready) / max(1.0, self.most_parts))
         counts = [sum(entry.zone == zone for entry in ready) for zone in range(len(self.reports))]
         if len(ready) >= fits * max(2, sum(map(bool, counts))):
-            self.part_zone = [z for z, count in enumerate(counts) for _ in range(max(count > 0, int(count / fits)))]
+            filled = [max(count > 0, int(count / fits)) for count in counts]
+            self.part_zone = [zone for zone, parts in enumerate(filled) for _ in range(parts)]
         else:
             self.part_zone = [ANYWHERE]
 
@@ -197,9 +189,9 @@
         if new:
             self.place[entry.server] = len(self.ids)
             for array, value in (
-                (self.ids, entry.server), (self.kind, entry.kind), (self.state, face.GONE), (self.started, started),
-                (self.entered, LONG_AGO), (self.listed, 1.0), (self.factor, 1.0), (self.out_at, None),
-                (self.met, [0.0] * 3), (self.strain, [0.0] * 3), (self.busy, None), (self.part, 0),
+                (self.ids, entry.server), (self.kind, entry.kind), (self.state, face.GONE), (self.busy, None),
+                (self.started, started), (self.entered, LONG_AGO), (self.listed, 1.0), (self.factor, 1.0),
+                (self.out_at, None), (self.met, [0.0] * 3), (self.strain, [0.0] * 3), (self.part, 0),
                 (self.line, 0.0), (self.shut, False),
             ):  # fmt: skip
                 array.append(value)
@@ -216,15 +208,14 @@
             self._enter(i, LONG_AGO if self.first_list else self.now)
             if (started > self.started[i] or new) and not self.first_list:
                 # One that starts now begins with what its kind has learnt, not with an average part.
-                alike = (entry.kind, face.READY)
-                kin = [k for k, kind in enumerate(self.kind) if k != i and (kind, self.state[k]) == alike]
-                self.factor[i] = median([self.factor[k] for k in kin]) or 1.0
+                kin = [k for servers in self._members() for k in servers if self.kind[k] == entry.kind]
+                self.factor[i] = median([self.factor[k] for k in kin if k != i]) or 1.0
         self.state[i], self.started[i] = entry.state, max(started, self.started[i])
         if self.weighs and entry.weight > 0:
             self.listed[i] = entry.weight
 
     def _part_for(self, entry) -> int:
-        """Where a server goes: to the part of its zone with the fewest of its kind, then with the least weight."""
+        """Where a server goes: to the part of its zone with the fewest of its kind, then of least weight."""
         members = self._members()
         parts = [p for p, zone in enumerate(self.part_zone) if zone == entry.zone] or range(len(members))
         alike = [sum(self.kind[i] == entry.kind for i in servers) for servers in members]
@@ -253,9 +244,7 @@
 
     def _hear_left(self, left: face.Left) -> None:
         """A proxy that has left is owed nothing and owes no answer."""
-        for known in (
-            self.sent_at, self.home, self.due_part, self.held_part, self.unanswered, self.valve_owed, self.demand,
-        ):  # fmt: skip
+        for known in (self.sent_at, self.home, self.due_part, self.held_part, self.demand, self.unanswered):
             known.pop(left.proxy, None)
 
     def _hear_applied(self, applied: face.Applied) -> None:
@@ -267,11 +256,6 @@
             del self.unanswered[applied.proxy]
             if not self.unanswered:
                 self.channel.clear()
-        ahead = (applied.mark - self.valve_mark) % MARKS
-        if applied.proxy in self.valve_owed and ahead < MARKS_AHEAD:
-            del self.valve_owed[applied.proxy]
-            if not self.valve_owed:
-                self._look_afresh()  # what is heard from now on tells of the levels in force
 
     def _hear_heard(self, heard: face.Heard) -> None:
         i = self.place.get(heard.server)
@@ -280,9 +264,8 @@
         good = heard.tries - min(heard.errored, heard.tries)
         took = good * (heard.latency or 0.0)
         lost = (heard.tries - good) * self._objective()
-        for row, time in (
-            (self.met[i], took + lost), (self.seen[heard.zone, self.part[i]], took + lost), (self.strain[i], took),
-        ):  # fmt: skip
+        seen = self.seen[heard.zone, self.part[i]]
+        for row, time in (self.met[i], took + lost), (seen, took + lost), (self.strain[i], took):
             row[0] += heard.tries
             row[1] += good
             row[2] += time
@@ -315,8 +298,7 @@
         self.since[zone][i] = None
         if took is not None and slow <= SLOW_TIMES and erred <= ERRED_SHARE:
             # While it is slow or errs the baseline stays: a lasting slowness never becomes usual.
-            share = min(1.0, self.tick / BASELINE_OVER)
-            self.baseline[zone][i] = took if usual is None else usual + share * (took - usual)
+            self.baseline[zone][i] = took if usual is None else usual + self.learns * (took - usual)
 
     def _hear_demand(self, demand: face.Demand) -> None:
         if demand.proxy in self.sent_at and demand.window > 0 and demand.operation < len(self.mix):
@@ -359,8 +341,7 @@
                 continue
             self.out_at[i] = self.now
             spent.append(self.now)
-            views = [self.view[zone][i] for zone in range(len(self.view))]
-            said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} erred" for at, slow, erred in views if at > LONG_AGO)
+            said = "; ".join(f"{view[i][1]:.1f} x usual, {view[i][2]:.0%} erred" for view in self.view)
             self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
 
     def _names(self, zone: int, i: int) -> bool:
@@ -405,35 +386,31 @@
         busy, eased = median([share for share in self.busy if share is not None]), EASED
         if pressure <= 1:
             self.floor = min(took, self.floor / FADE)
-        if busy is not None:
-            # Late answers from servers that are not busy are not for want of servers: no less would help them.
+        if busy is not None:  # late answers from servers with cores to spare are not for want of servers
             pressure, eased = min(pressure, busy / BUSY), 1.0
-        self.knee = max(self.knee * FADE, good / span if pressure * EASED <= 1 else 0.0)
         # The best that a unit of weight was seen to answer tells what a cold one bears, also in a jam.
         full = self._full()
         self.unit = max(self.unit * FADE, good / span / (full or 1.0))
         self.crowding = min(1.0, self.unit * full * span / (2 * tries - good))
-        if self.valve_owed:
-            return  # the last levels are still under way
+        if self.levels_under_way:
+            return
         if pressure > 1:
             # Cutting tries is known not to help where hardly any are made beyond the first.
             spare = self.tries != face.NO_TRY and tries / span > (1 + SPARE_TRIES) * come
             self.tries = face.NO_TRY
             if not spare and self.levels_by != "off":
                 # What a strained fleet answers is what it can do: let in a little less, in few large steps.
-                # In a jam it answers less than it could, so what it did before bounds the cut.
-                bearable = max(HEADROOM * good / span, DRAINING * self.knee) / come
+                bearable = HEADROOM * good / span / come
                 self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, bearable, LEAST_LET_IN))
         elif pressure < eased and self.let_in < 1:
-            rise = max(self.let_in * eased / max(pressure, eased / LARGEST_RISE), RESUMED * self.knee / come)
-            self.let_in = min(1.0, rise)
+            self.let_in = min(1.0, self.let_in * eased / max(pressure, eased / LARGEST_RISE))
         elif pressure < eased:
             self.tries = face.ONE_AFTER_PROOF
         # Only now: levels that follow every swing of demand would be under way for ever, and never judged.
         self.valves_wanted = self._wanted_valves()
 
     def _full(self) -> float:
-        return sum(self.listed[i] * self.factor[i] for i, state in enumerate(self.state) if state == face.READY)
+        return sum(self.listed[i] * self.factor[i] for servers in self._members() for i in servers)
 
     def _look_afresh(self) -> None:
         self.strain = [[0.0, 0.0, 0.0] for _ in self.ids]
@@ -463,14 +440,12 @@
             brought[part] += sum(self.demand[proxy])
         for part, servers in enumerate(members):
             steps = {i: min(99.0, (self.now - self.entered[i]) // ENTRY_STEP) for i in servers}
-            whole = sum(self.listed[i] for i in servers)
-            inside = [i for i in servers if ENTRY_PART * 2 ** steps[i] >= 1 and self.out_at[i] is None]
-            settled = sum(self.listed[i] for i in inside)
+            settled = sum(self.listed[i] for i in servers if steps[i] >= STEPS_IN and self.out_at[i] is None)
             for i in servers:
                 wanted[i] = self.listed[i] * self.factor[i]
-                # Steps presume others that carry the rest. With most of the part still entering they would push
-                # over the few that are in, so then only what is sure of a cold one's capacity holds it back.
-                if settled >= whole / 2:
+                # Steps presume others that carry the rest. With most of the part still entering they would
+                # push over the few that are in, so then only what a cold one is sure to bear holds it back.
+                if settled >= sum(self.listed[k] for k in servers) / 2:
                     wanted[i] = min(wanted[i], entry * 2 ** steps[i])
             # Guards against queues at a server that is half warm: no more than it is sure to do by now.
             cold = {}
@@ -481,9 +456,8 @@
                     wanted[i] = min(wanted[i], self.listed[i] * grown)
                     bears = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
                     cold[i] = bears * (sum(brought) / brought[part] if brought[part] else len(brought))
-            # Guards against pushing a cold server over: however much comes and however the rest is, its
-            # share of all tries stays within what it bears. Warm ones take the rest, as they do not fall. Harm:
-            # in a deep overload servers idle while they warm.
+            # Guards against pushing a cold server over: however much comes, its share of all tries stays
+            # within what it bears; warm ones do not fall. Harm: in a deep overload it idles.
             warm = sum(wanted[i] for i in servers if i not in cold and self.out_at[i] is None)
             if warm and sum(cold.values()) < 1:
                 for i, share in cold.items():
@@ -497,8 +471,7 @@
         return [shut and self.part[i] in safe for i, shut in enumerate(out)]
 
     def _deal(self, lines: list[float], out: list[bool]) -> None:
-        """Which part each proxy should hold. Guards against a part that is asked for more than its servers do,
-        or has lost them all."""
+        """Which part each proxy should hold. Guards against a part asked for more than it does, or empty."""
         weight = [0.0] * len(self.part_zone)
         for i, line in enumerate(lines):
             weight[self.part[i]] += 0.0 if out[i] else line
@@ -515,7 +488,8 @@
             for proxy in set(mine) - lost:
                 over[self.due_part[proxy]] += rate[proxy]
             for proxy in mine:
-                taker = min((p for p, w in enumerate(weight) if w), key=lambda p: over[p] / (due[zone][p] or 1e-9))
+                filled = (p for p, w in enumerate(weight) if w)
+                taker = min(filled, key=lambda p: over[p] / (due[zone][p] or 1.0))
                 giver = self.due_part.get(proxy)
                 if proxy not in lost:
                     taker = over.index(min(over))
@@ -529,10 +503,9 @@
     def _answers(self, zone: int, part: int) -> float:
         """How well a part answers a zone, from 0 to 1. What is not heard of any more counts as well again.
 
-        Guards against a part that a zone cannot reach, or only slowly: a building lost before the list tells, a
-        sick way between zones, a supervisor with trouble of its own. It names no server, and the caps stay.
+        Guards against a part that a zone cannot reach, or only slowly: a building lost before the list tells,
+        a sick way between zones, a supervisor's own trouble. It names no server, and the caps stay.
         """
-        # The time spent for a good answer, an errored try taking a whole objective, tells both kinds of trouble.
         rows = [row for (z, _), row in self.seen.items() if z == zone and row[1] >= TRIES_TO_JUDGE]
         best = min((took / good for _, good, took in rows), default=0.0)
         _, good, took = self.seen[zone, part]
@@ -546,15 +519,11 @@
         """
         zones = range(len(self.reports))
         come = [sum(each for proxy, each in rate.items() if self.home[proxy] == zone) for zone in zones]
-        at = list(zip(weight, self.part_zone, strict=True))
-        held = [sum(each for each, place in at if place in (zone, ANYWHERE)) for zone in zones]
-        known = [zone for zone in zones if come[zone]]
-        usual = sum(come) / (sum(held[zone] for zone in known) or 1.0)
+        held = [sum(w for w, at in zip(weight, self.part_zone, strict=True) if at == zone) for zone in zones]
+        usual = sum(come) / (sum(h for h, c in zip(held, come, strict=True) if c) or 1.0)
         come = [each or usual * held[zone] for zone, each in enumerate(come)]
-        pull = [
-            [each * (NEAR if place == zone else 1.0) * self._answers(zone, p) for p, (each, place) in enumerate(at)]
-            for zone in zones
-        ]
+        near = [[NEAR if place == zone else 1.0 for place in self.part_zone] for zone in zones]
+        pull = [[w * near[zone][p] * self._answers(zone, p) for p, w in enumerate(weight)] for zone in zones]
         for _ in range(BALANCING):
             due = [[come[zone] * each / sum(row) for each in row] for zone, row in enumerate(pull)]
             brought = [sum(column) or 1.0 for column in zip(*due, strict=True)]
@@ -569,7 +538,6 @@
             self.channel.popleft()  # a lost answer must not stall the rest
             kept = {mark for mark, _, _ in self.channel}
             self.unanswered = {p: mark for p, mark in self.unanswered.items() if mark in kept}
-            self.valve_owed = {}
         urgent, ordinary = [], []
         for i, weight in enumerate(lines):
             part, present = self.part[i], self.line[i]
@@ -578,7 +546,7 @@
             if present and (not weight or (restarted and weight < present * (1 - SOLVE_STEP))):
                 urgent.append((weight, *line))
             elif weight and (not present or abs(weight - present) >= WORTH_SENDING * present):
-                ordinary.append((-abs(weight - present) / (weight + present), *line))
+                ordinary.append((-abs(weight - present) / (weight + present), *line))  # the largest first
             if out[i] != self.shut[i]:
                 ordinary.append((-1.0, part, face.Withdraw(out[i], self.ids[i])))
         for part in {part for weight, part, _ in urgent if not weight}:
@@ -594,9 +562,7 @@
         users: dict[int, list[int]] = defaultdict(list)
         for proxy, part in self.held_part.items():
             users[part].append(proxy)
-        go: list = []
-        messages: dict[int, float] = {}
-        free = not self.unanswered
+        go, messages, free = [], {}, not self.unanswered
         if self.now >= self.next_urgent and self._send(urgent, users, messages, self.cap, 1.0, go):
             self.next_urgent = self.now + self.gap
         rows = sorted((row for row in ordinary if free or row[1] not in users), key=lambda row: row[0])
@@ -607,10 +573,10 @@
             moves = held in alive  # the others are joining, or hold a part that has lost all
             if held == part or (moves and not free):
                 continue
-            ours = [i for i, p in enumerate(self.part) if p == part]
-            size = 1 + sum(bool(self.line[i]) + self.shut[i] for i in ours) + len(self.valves_wanted) + self.head
-            share = ORDINARY_SHARE if moves else 1.0
-            if self._waiting() + sum(messages.values()) + size > self.cap * share or not self._may_write(proxy, share):
+            ours = [bool(self.line[i]) + self.shut[i] for i, p in enumerate(self.part) if p == part]
+            size, share = 1 + sum(ours) + len(self.objectives) + self.head, ORDINARY_SHARE if moves else 1.0
+            fits = self._waiting() + sum(messages.values()) + size <= self.cap * share
+            if not fits or not self._may_write(proxy, share):
                 continue
             go.append(face.UseTable(0, part, proxy))
             self.held_part[proxy] = part
@@ -618,8 +584,7 @@
         if messages:
             self.marks = self.marks % MARKS + 1
             go.append(face.Mark(False, self.marks))
-            if any(isinstance(order, face.SetLevel) for order in go):
-                self.valve_mark, self.valve_owed = self.marks, dict.fromkeys(messages)
+            self.levels_under_way |= any(isinstance(order, face.SetLevel) for order in go)
             self.channel.append((self.marks, sum(messages.values()), self.now))
             for proxy in messages:
                 self.unanswered[proxy] = self.marks
@@ -628,17 +593,15 @@
 
     def _send(self, rows: list, users: dict, messages: dict, most: float, share: float, go: list) -> bool:
         """Takes the orders that fit, first ones first: so many lines, and this share of the caps."""
-        waiting, used, sent = self._waiting(), sum(messages.values()), False
-        open_parts = {}
+        waiting, used, sent, may = self._waiting(), sum(messages.values()), False, {}
         for _, part, order in rows:
             proxies = users.get(part, ())
-            if part not in open_parts:
-                open_parts[part] = all(proxy in messages or self._may_write(proxy, share) for proxy in proxies)
+            if part not in may:
+                may[part] = all(proxy in messages or self._may_write(proxy, share) for proxy in proxies)
             more = sum(1 if proxy in messages else 1 + self.head for proxy in proxies)
-            first = not sent and share < 1
-            if more and (not open_parts[part] or waiting + used + more > self.cap * share):
-                continue
-            if more and used + more > most and not first:
+            first = not sent and share < 1  # one line a round goes even if it is more than a round's part
+            over = waiting + used + more > self.cap * share or (used + more > most and not first)
+            if more and (over or not may[part]):
                 continue
             for proxy in proxies:
                 messages[proxy] = messages.get(proxy, self.head) + 1
@@ -665,13 +628,3 @@
 
     def _waiting(self) -> float:
         return sum(lines for _, lines, _ in self.channel)
-
-
-HEAR = {
-    face.Listing: Brain._hear_listing,
-    face.Joined: Brain._hear_joined,
-    face.Left: Brain._hear_left,
-    face.Applied: Brain._hear_applied,
-    face.Heard: Brain._hear_heard,
-    face.Demand: Brain._hear_demand,
-}
