--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -30,15 +30,12 @@
 SLOW_TIMES, ERRED_SHARE = 2.0, 0.10  # what a zone complains of
 LASTING, LAPSE = 6.0, 15.0  # a complaint counts from, and until this long after it was last heard
 ZONES_TO_AGREE, MOST_OUT, MOST_OUT_SHARE = 2, 2, 1 / 3
-BUDGET, BUDGET_SPAN = 5, 30.0  # withdrawals
-OUT_FOR = 10.0
-ENTRY_PART, ENTRY_STEP = 0.1, 2.0  # of the average weight, doubling every step
-STEPS_IN = 4  # steps until it has its whole part
+BUDGET, BUDGET_SPAN, OUT_FOR = 5, 30.0, 10.0  # withdrawals
+ENTRY_PART, ENTRY_STEP, STEPS_IN = 0.1, 2.0, 4  # of the average weight, doubling every step, whole after four
 SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR = 3.0, 0.2, 0.5, 2.0
 WORTH_SENDING = 0.1  # of the weight that stands
 
 # Ours.
-SLOW_OVER = 1.0  # latency objectives, for the design's 50 ms: a slow server's answers come too late
 SPARED = 2 / 3  # of the tip multiple: what a cold server may be asked for
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
 LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
@@ -65,8 +62,7 @@
 
 class Brain:
     def __init__(self, facts: face.StartFacts, seed: int, now: float) -> None:
-        self.random = Random(seed)
-        self.now = now
+        self.random, self.now = Random(seed), now
         # What the facts come down to.
         self.ask_again, self.weighs = facts.ask_within / 8, facts.listed_weights != "off"
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
@@ -76,8 +72,7 @@
         self.message_cap, self.message_span = facts.message_cap, facts.message_span
         self.gap = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
         self.patience = 4 * facts.worst_transit + 8 * facts.queue_cap / facts.lines_per_second
-        self.tick = facts.report_period / 2
-        self.learns = min(1.0, self.tick / BASELINE_OVER)
+        self.tick, self.learns = facts.report_period / 2, facts.report_period / 2 / BASELINE_OVER
         self.objectives = [operation.latency_objective for operation in facts.operations]
         value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
         self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
@@ -88,8 +83,8 @@
         self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
         self.part_lines = PART_LINES * max(1, facts.standing_lines)
         self.most_parts = facts.proxies / max(1, facts.supervisors) / PROXIES_A_PART
-        # Guards against steering all work to the fastest while nobody is busy: their latency does not answer
-        # until they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
+        # Guards against steering all to the fastest while nobody is busy: their latency does not answer until
+        # they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
         self.leak = LEAK if self.weighs else 0.0
         zones = range(len(facts.zones))
         # Servers: parallel arrays under a dense index. Factor: learnt, beside the listed weight; out_at: out
@@ -100,24 +95,21 @@
         self.listed, self.factor, self.met, self.strain, self.busy = [], [], [], [], []
         self.part, self.line, self.shut = [], [], []
         # What each zone says of each server; view: judged when, times the usual, erred share.
-        says = [[[] for _ in zones] for _ in range(5)]
-        self.reports, self.baseline, self.since, self.renewed, self.view = says
+        self.says = [[[] for _ in zones] for _ in range(5)]
+        self.reports, self.baseline, self.since, self.renewed, self.view = self.says
         # Parts: the zone of the servers of each, what each zone met there (as in met), withdrawals of late.
         self.part_zone: list[int] = []
         self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.spent: dict[int, deque] = defaultdict(deque)
         # Proxies: zone, what comes, when written to, the part it should hold and does hold, the mark that it
         # has yet to answer; and the channel: mark, lines, when.
-        self.home: dict[int, int] = {}
-        self.demand: dict[int, list[float]] = {}
-        self.sent_at: dict[int, deque] = {}
+        self.home, self.demand, self.sent_at = {}, {}, {}
         self.due_part, self.held_part, self.unanswered = {}, {}, {}
-        self.channel: deque[tuple[int, int, float]] = deque()
-        self.marks, self.levels_under_way = 0, False
+        self.channel, self.marks, self.levels_under_way = deque(), 0, False
         self.mix = [1.0 for _ in self.objectives]
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         # The least that the median server took, rising slowly; the most that a unit of weight answered,
-        # fading; that against the tries that come and come again. One that starts blind takes the worst for granted.
+        # fading; that against the tries that come and come again: the worst, for one that starts blind.
         self.floor, self.unit, self.crowding = float("inf"), 0.0, 1 / facts.tip_multiple
         self.strain_from, self.next_control = now, now + self.control_every
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
@@ -130,12 +122,10 @@
     # ---- what is heard
 
     def handle(self, now: float, events: list) -> list:
-        self.now = now
-        self.orders = []
+        self.now, self.orders = now, []
         for event in events:
             getattr(self, f"_hear_{type(event).__name__.lower()}", lambda _: None)(event)
-        if self.next_ask is not None and now >= self.next_ask:
-            # An ask that fails or goes unanswered is made again, each instance at its own moment.
+        if self.next_ask is not None and now >= self.next_ask:  # again until answered, each at its own moment
             self.orders.append(face.Subscribe(True))
             self.next_ask = now + self.ask_again * self.random.uniform(2, 3)
         if self.levels_under_way and not self.unanswered:
@@ -178,8 +168,7 @@
         fits = max(self.part_lines, len(ready) / max(1.0, self.most_parts))
         counts = [sum(entry.zone == zone for entry in ready) for zone in range(len(self.reports))]
         if len(ready) >= fits * max(2, sum(map(bool, counts))):
-            filled = [max(count > 0, int(count / fits)) for count in counts]
-            self.part_zone = [zone for zone, parts in enumerate(filled) for _ in range(parts)]
+            self.part_zone = [z for z, n in enumerate(counts) for _ in range(max(n > 0, int(n / fits)))]
         else:
             self.part_zone = [ANYWHERE]
 
@@ -196,11 +185,9 @@
             ):  # fmt: skip
                 array.append(value)
             for zone in range(len(self.reports)):
-                self.reports[zone].append(deque())
-                self.baseline[zone].append(None)
-                self.since[zone].append(None)
-                self.renewed[zone].append(LONG_AGO)
-                self.view[zone].append((LONG_AGO, 0.0, 0.0))
+                unsaid = deque(), None, None, LONG_AGO, (LONG_AGO, 0.0, 0.0)
+                for array, value in zip(self.says, unsaid, strict=True):
+                    array[zone].append(value)
         i = self.place[entry.server]
         if not self.line[i] and not self.shut[i]:
             self.part[i] = self._part_for(entry)
@@ -215,7 +202,7 @@
             self.listed[i] = entry.weight
 
     def _part_for(self, entry) -> int:
-        """Where a server goes: to the part of its zone with the fewest of its kind, then of least weight."""
+        """The part of its zone with the fewest of its kind, then of least weight."""
         members = self._members()
         parts = [p for p, zone in enumerate(self.part_zone) if zone == entry.zone] or range(len(members))
         alike = [sum(self.kind[i] == entry.kind for i in servers) for servers in members]
@@ -238,12 +225,10 @@
 
     def _hear_joined(self, joined: face.Joined) -> None:
         self._hear_left(joined)
-        self.sent_at[joined.proxy] = deque()
-        self.home[joined.proxy] = joined.zone
+        self.sent_at[joined.proxy], self.home[joined.proxy] = deque(), joined.zone
         self.demand[joined.proxy] = [joined.rate * part / sum(self.mix) for part in self.mix]
 
     def _hear_left(self, left: face.Left) -> None:
-        """A proxy that has left is owed nothing and owes no answer."""
         for known in (self.sent_at, self.home, self.due_part, self.held_part, self.demand, self.unanswered):
             known.pop(left.proxy, None)
 
@@ -262,8 +247,7 @@
         if i is None or not heard.tries or heard.zone >= len(self.reports):
             return
         good = heard.tries - min(heard.errored, heard.tries)
-        took = good * (heard.latency or 0.0)
-        lost = (heard.tries - good) * self._objective()
+        took, lost = good * (heard.latency or 0.0), (heard.tries - good) * self._objective()
         seen = self.seen[heard.zone, self.part[i]]
         for row, time in (self.met[i], took + lost), (seen, took + lost), (self.strain[i], took):
             row[0] += heard.tries
@@ -271,13 +255,12 @@
             row[2] += time
         if self.tells_busy is not None and heard.load:
             self.busy[i] = heard.load[self.tells_busy]
-        reports = self.reports[heard.zone][i]
-        reports.append((self.now, heard.tries, heard.tries - good, heard.latency))
-        while reports[0][0] < self.now - VIEW:
-            reports.popleft()
-        self._complain(heard.zone, i, reports)
+        self.reports[heard.zone][i].append((self.now, heard.tries, heard.tries - good, heard.latency))
+        self._complain(heard.zone, i, self.reports[heard.zone][i])
 
     def _complain(self, zone: int, i: int, reports: deque) -> None:
+        while reports[0][0] < self.now - VIEW:
+            reports.popleft()
         tries = sum(report[1] for report in reports)
         if tries < TRIES_TO_JUDGE:
             return
@@ -289,15 +272,16 @@
         # Guards against naming the noisiest in a fleet-wide trouble (overload, a slow thing behind all): what
         # a zone meets at most of its servers names none. It would miss half of a fleet that fails together.
         views = [view for view in self.view[zone] if view[0] > self.now - VIEW]
-        late = took is not None and took > SLOW_OVER * self._objective()
+        # In place of the design's 50 ms: a slow server's answers come too late.
+        late = took is not None and took > self._objective()
         late = late and slow > SLOW_TIMES * max(1.0, median([view[1] for view in views]))
         if late or erred > max(ERRED_SHARE, SLOW_TIMES * median([view[2] for view in views])):
-            self.since[zone][i] = self.now if self.since[zone][i] is None else self.since[zone][i]
+            lapsed = self.since[zone][i] is None or self.renewed[zone][i] < self.now - LAPSE
+            self.since[zone][i] = self.now if lapsed else self.since[zone][i]
             self.renewed[zone][i] = self.now
             return
         self.since[zone][i] = None
         if took is not None and slow <= SLOW_TIMES and erred <= ERRED_SHARE:
-            # While it is slow or errs the baseline stays: a lasting slowness never becomes usual.
             self.baseline[zone][i] = took if usual is None else usual + self.learns * (took - usual)
 
     def _hear_demand(self, demand: face.Demand) -> None:
@@ -345,18 +329,16 @@
             self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
 
     def _names(self, zone: int, i: int) -> bool:
-        since = self.since[zone][i]
-        if since is not None and self.renewed[zone][i] < self.now - LAPSE:
-            self.since[zone][i] = since = None
         # Guards against a server that answers next to nothing and holds what it takes until clients give
         # up: it needs less patience than a late one. Not under strain, when weak servers look dead.
         dead = self.view[zone][i][2] >= DEAD_SHARE and self.tries != face.NO_TRY
-        return since is not None and self.now - since >= LASTING * (1 / 2 if dead else 1)
+        since, lapsed = self.since[zone][i], self.renewed[zone][i] < self.now - LAPSE
+        return since is not None and not lapsed and self.now - since >= LASTING * (1 / 2 if dead else 1)
 
     def _solve(self) -> None:
         """The companion: each weight one step toward equal latency."""
-        # Guards against a server that keeps or draws work by failing: an errored try adds a whole objective
-        # to what the answered ones took. It also turns work from a weak server whose answers come too late.
+        # Guards against a server that keeps or draws work by failing: an errored try adds a whole objective.
+        # It also turns work from a weak server whose answers come too late.
         enough = {i: row for i, row in enumerate(self.met) if row[0] >= TRIES_TO_JUDGE and row[2] > 0}
         latency = {i: took / max(1.0, good) for i, (_, good, took) in enough.items()}
         for row in [*self.met, *self.seen.values()]:
@@ -417,14 +399,13 @@
         self.strain_from, self.next_control = self.now, self.now + self.control_every
 
     def _wanted_valves(self) -> list[tuple[float, int]]:
-        valves = []
         rates = [sorted(rates[k] for rates in self.demand.values()) for k in range(len(self.cheap))]
+        come = sum(map(sum, rates))
         cheap = sum(sum(rates[k]) for k, is_cheap in enumerate(self.cheap) if is_cheap) or 1.0
-        dear = sum(map(sum, rates)) - cheap
-        cheap_part = max(LEAST_LET_IN, (self.let_in * (cheap + dear) - dear) / cheap)
-        dear_part = (self.let_in * (cheap + dear) - cheap_part * cheap) / dear if dear > 0 else 1.0
-        for k, is_cheap in enumerate(self.cheap):
-            part = min(1.0, cheap_part if is_cheap else max(LEAST_LET_IN, dear_part))
+        cheap_part = max(LEAST_LET_IN, 1 - (1 - self.let_in) * come / cheap)
+        dear_part = max(LEAST_LET_IN, (self.let_in * come - cheap_part * cheap) / (come - cheap or 1.0))
+        valves = []
+        for k, part in enumerate(cheap_part if is_cheap else dear_part for is_cheap in self.cheap):
             level = part if self.levels_by == "share" else fair_rate(rates[k], part)
             valves.append((level if self.let_in < 1 and part < 1 else self.all_in, self.tries))
         return valves
@@ -565,7 +546,7 @@
         go, messages, free = [], {}, not self.unanswered
         if self.now >= self.next_urgent and self._send(urgent, users, messages, self.cap, 1.0, go):
             self.next_urgent = self.now + self.gap
-        rows = sorted((row for row in ordinary if free or row[1] not in users), key=lambda row: row[0])
+        rows = [row for row in ordinary if free or row[1] not in users]
         self._send(rows, users, messages, self.round_lines, ORDINARY_SHARE, go)
         alive = {part for part, line, gone in zip(self.part, lines, out, strict=True) if line and not gone}
         for proxy, part in self.due_part.items():
@@ -592,9 +573,9 @@
         self.orders += go
 
     def _send(self, rows: list, users: dict, messages: dict, most: float, share: float, go: list) -> bool:
-        """Takes the orders that fit, first ones first: so many lines, and this share of the caps."""
+        """Takes the orders that fit, the least key first: so many lines, and this share of the caps."""
         waiting, used, sent, may = self._waiting(), sum(messages.values()), False, {}
-        for _, part, order in rows:
+        for _, part, order in sorted(rows, key=lambda row: row[0]):
             proxies = users.get(part, ())
             if part not in may:
                 may[part] = all(proxy in messages or self._may_write(proxy, share) for proxy in proxies)
@@ -606,25 +587,20 @@
             for proxy in proxies:
                 messages[proxy] = messages.get(proxy, self.head) + 1
             used, sent = used + more, True
-            go.append(order)
-            self._take(order)
+            go.append(order)  # an order that goes out is the present state from now on
+            if isinstance(order, face.SetLine):
+                self.line[self.place[order.server]] = order.weight
+            elif isinstance(order, face.Withdraw):
+                self.shut[self.place[order.server]] = order.on
+            else:
+                self.valve[part, order.operations.bit_length() - 1] = (order.level, order.tries)
         return sent
 
     def _may_write(self, proxy: int, share: float) -> bool:
-        """Whether one more message keeps the proxy's cap."""
         sent = self.sent_at[proxy]
         while sent and sent[0] <= self.now - self.message_span:
             sent.popleft()
         return not self.message_cap or len(sent) < self.message_cap * share - 1
 
-    def _take(self, order) -> None:
-        """An order that goes out is the present state from now on."""
-        if isinstance(order, face.SetLine):
-            self.line[self.place[order.server]] = order.weight
-        elif isinstance(order, face.Withdraw):
-            self.shut[self.place[order.server]] = order.on
-        else:
-            self.valve[order.table, order.operations.bit_length() - 1] = (order.level, order.tries)
-
     def _waiting(self) -> float:
         return sum(lines for _, lines, _ in self.channel)
