--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -56,6 +56,7 @@
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is for the urgent
 PART_LINES, PROXIES_A_PART = 2, 5  # standing tables' lines in a part; proxies that share it at the least
+CONNECTIONS = 1 / 7  # of what servers accept, as they slow down while filling: proxies with lines to one
 NEAR, UNEVEN = 4.0, 0.2  # what a part of the own zone counts for; beyond its due a part gives proxies away
 BALANCING = 4  # rounds that bring what zones bring to the parts in line with their weight
 
@@ -63,7 +64,6 @@
 class Brain:
     def __init__(self, facts: face.StartFacts, seed: int, now: float) -> None:
         self.random, self.now = Random(seed), now
-        # What the facts come down to.
         self.ask_again, self.weighs = facts.ask_within / 8, facts.listed_weights != "off"
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
         self.spare, self.cap = facts.tip_multiple * SPARED, facts.queue_cap
@@ -82,6 +82,7 @@
         self.tells_busy = told.index("utilisation") if "utilisation" in told else None
         self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
         self.part_lines = PART_LINES * max(1, facts.standing_lines)
+        self.room_for_lines = CONNECTIONS * (facts.least_connections or 0.0) / max(1, facts.proxies)
         self.most_parts = facts.proxies / max(1, facts.supervisors) / PROXIES_A_PART
         # Guards against steering all to the fastest while nobody is busy: their latency does not answer until
         # they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
@@ -105,7 +106,7 @@
         # has yet to answer; and the channel: mark, lines, when.
         self.home, self.demand, self.sent_at = {}, {}, {}
         self.due_part, self.held_part, self.unanswered = {}, {}, {}
-        self.channel, self.marks, self.levels_under_way = deque(), 0, False
+        self.channel, self.marks, self.levels_under_way, self.first_list = deque(), 0, False, True
         self.mix = [1.0 for _ in self.objectives]
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         # The least that the median server took, rising slowly; the most that a unit of weight answered,
@@ -117,7 +118,6 @@
         self.next_ask = None if facts.list_is_pushed else now
         self.next_tick = self.next_deal = now
         self.next_solve, self.next_urgent = now + SOLVE_EVERY, LONG_AGO
-        self.first_list, self.orders = True, []
 
     # ---- what is heard
 
@@ -165,9 +165,10 @@
     def _divide(self, ready: list) -> None:
         """The parts of the shared table. Guards against a whole one that no proxy can be sent in time: a line
         to every server at every proxy costs connections, lines and messages by the product of both."""
-        fits = max(self.part_lines, len(ready) / max(1.0, self.most_parts))
+        shorter = max(self.part_lines / PART_LINES, self.room_for_lines * len(ready))
+        fits = max(min(self.part_lines, shorter), len(ready) / max(1.0, self.most_parts))
         counts = [sum(entry.zone == zone for entry in ready) for zone in range(len(self.reports))]
-        if len(ready) >= fits * max(2, sum(map(bool, counts))):
+        if len(ready) >= max(fits, self.part_lines) * max(2, sum(map(bool, counts))):
             self.part_zone = [z for z, n in enumerate(counts) for _ in range(max(n > 0, int(n / fits)))]
         else:
             self.part_zone = [ANYWHERE]
