A part that has cold servers alone is dealt no more than they bear

What its cold servers do not bear now leaves such a part at once, and none is dealt to it. Harm: proxies that flee open new connections elsewhere when the rest is short of time, too.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -11,8 +11,7 @@
  2. Cold servers: no more weight than they are sure to bear by now, and no more of all tries.
  3. Never bare: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go one marked round at a time; room is kept for urgent ones.
- 5. Tries and levels: while the fleet is short of time, further tries are cut first, then what is let in, the
-    operations of least billed value per unit of work first.
+ 5. Tries and levels: under strain further tries are cut first, then what is let in, the least worth first.
  6. Parts: where the shared table is too long, it is laid out in parts that the proxies are dealt to.
 """
 
@@ -99,7 +98,7 @@
         self.says = [[[] for _ in zones] for _ in range(5)]
         self.reports, self.baseline, self.since, self.renewed, self.view = self.says
         # Parts: the zone of the servers of each, what each zone met there (as in met), withdrawals of late.
-        self.part_zone: list[int] = []
+        self.part_zone, self.bears, self.fleeing = [], {}, set()
         self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.spent: dict[int, deque] = defaultdict(deque)
         # Proxies: zone, what comes, when written to, the part it should hold and does hold, the mark that it
@@ -119,8 +118,6 @@
         self.next_tick = self.next_deal = now
         self.next_solve, self.next_urgent = now + SOLVE_EVERY, LONG_AGO
 
-    # ---- what is heard
-
     def handle(self, now: float, events: list) -> list:
         self.now, self.orders = now, []
         for event in events:
@@ -210,7 +207,6 @@
         return min(parts, key=lambda p: (alike[p], sum(self.listed[i] for i in members[p])))
 
     def _members(self) -> list[list[int]]:
-        """The ready servers of each part."""
         members: list[list[int]] = [[] for _ in self.part_zone]
         for i, state in enumerate(self.state):
             if state == face.READY:
@@ -292,11 +288,8 @@
             self.mix[demand.operation] = 0.99 * self.mix[demand.operation] + 0.01 * demand.arrived
 
     def _objective(self) -> float:
-        """The latency objective of the mean invocation."""
         return sum(a * b for a, b in zip(self.objectives, self.mix, strict=True)) / sum(self.mix)
 
-    # ---- what is wanted
-
     def _warm(self, i: int) -> bool:
         return self.state[i] == face.READY and self.now - self.started[i] >= self.warm_within
 
@@ -326,7 +319,8 @@
                 continue
             self.out_at[i] = self.now
             spent.append(self.now)
-            said = "; ".join(f"{view[i][1]:.1f} x usual, {view[i][2]:.0%} erred" for view in self.view)
+            views = [view[i] for view in self.view if view[i][0] > LONG_AGO]
+            said = "; ".join(f"{slow:.1f} x usual, {erred:.0%} erred" for _, slow, erred in views)
             self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
 
     def _names(self, zone: int, i: int) -> bool:
@@ -351,11 +345,9 @@
             self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] ** (1 - self.leak) * step))
 
     def _control(self) -> None:
-        """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats.
-
-        The median server's good answers tell, so that single sick servers, and tries that fail at once, move
-        nothing. It also answers a slow thing behind all servers, and harms where that would pass by itself.
-        """
+        """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats. The
+        median server's good answers tell, so that single sick servers, and tries that fail at once, move
+        nothing. Harm: a slow thing behind all that would pass by itself."""
         took = weighted_median([(total / good, good) for _, good, total in self.strain if good])
         tries, good = sum(row[0] for row in self.strain), sum(row[1] for row in self.strain)
         span, come = self.now - self.strain_from, max(1.0, sum(map(sum, self.demand.values())))
@@ -430,17 +422,19 @@
                 if settled >= sum(self.listed[k] for k in servers) / 2:
                     wanted[i] = min(wanted[i], entry * 2 ** steps[i])
             # Guards against queues at a server that is half warm: no more than it is sure to do by now.
-            cold = {}
+            cold, self.bears[part] = {}, 0.0
             for i in servers:
                 age = (self.now - self.started[i]) // ENTRY_STEP * ENTRY_STEP
                 if age < self.warm_within:
                     grown = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
                     wanted[i] = min(wanted[i], self.listed[i] * grown)
                     bears = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
+                    self.bears[part] += bears
                     cold[i] = bears * (sum(brought) / brought[part] if brought[part] else len(brought))
             # Guards against pushing a cold server over: however much comes, its share of all tries stays
             # within what it bears; warm ones do not fall. Harm: in a deep overload it idles.
             warm = sum(wanted[i] for i in servers if i not in cold and self.out_at[i] is None)
+            self.bears[part] = float("inf") if warm else self.bears[part]
             if warm and sum(cold.values()) < 1:
                 for i, share in cold.items():
                     wanted[i] = min(wanted[i], share * warm / (1 - sum(cold.values())))
@@ -458,11 +452,18 @@
         for i, line in enumerate(lines):
             weight[self.part[i]] += 0.0 if out[i] else line
         lost = {p for p in self.home if p not in self.due_part or not weight[self.due_part[p]]}
+        rate = {proxy: sum(self.demand[proxy]) for proxy in self.home}
+        # Guards against pushing over a part of cold servers alone: what they do not bear leaves at once.
+        left, self.fleeing = {part: most * sum(rate.values()) for part, most in self.bears.items()}, set()
+        for proxy in sorted(set(self.due_part) - lost, key=lambda p: (rate[p], p)):
+            left[self.due_part[proxy]] -= rate[proxy]
+            if left[self.due_part[proxy]] < 0:
+                self.fleeing.add(proxy)
+        lost |= self.fleeing
         even = self.now >= self.next_deal and not self.unanswered and len(weight) > 1
         if not any(weight) or not (lost or even):
             return
         self.next_deal = self.now + self.tick if even else self.next_deal
-        rate = {proxy: sum(self.demand[proxy]) for proxy in self.home}
         due = self._due(weight, rate)
         for zone in sorted(set(self.home.values())):
             mine = sorted((p for p, home in self.home.items() if home == zone), key=lambda p: (-rate[p], p))
@@ -483,11 +484,8 @@
                 over[taker] += rate[proxy]
 
     def _answers(self, zone: int, part: int) -> float:
-        """How well a part answers a zone, from 0 to 1. What is not heard of any more counts as well again.
-
-        Guards against a part that a zone cannot reach, or only slowly: a building lost before the list tells,
-        a sick way between zones, a supervisor's own trouble. It names no server, and the caps stay.
-        """
+        """How well a part answers a zone, up to 1; what is not heard of counts as well again. Guards against one
+        that a zone reaches badly: a building lost before the list tells, a sick way, trouble of our own."""
         rows = [row for (z, _), row in self.seen.items() if z == zone and row[1] >= TRIES_TO_JUDGE]
         best = min((took / good for _, good, took in rows), default=0.0)
         _, good, took = self.seen[zone, part]
@@ -495,10 +493,8 @@
         return min(1.0, LONGER * best / cost) ** 2 if best else 1.0
 
     def _due(self, weight: list[float], rate: dict[int, float]) -> list[list[float]]:
-        """What each zone's proxies should bring to each part: in all as the parts weigh, near ones first.
-
-        A zone that none of the own proxies is in is taken to bring what is usual to its own servers.
-        """
+        """What each zone's proxies should bring to each part: in all as the parts weigh, near ones first. A
+        zone that none of the own proxies is in is taken to bring what is usual to its own servers."""
         zones = range(len(self.reports))
         come = [sum(each for proxy, each in rate.items() if self.home[proxy] == zone) for zone in zones]
         held = [sum(w for w, at in zip(weight, self.part_zone, strict=True) if at == zone) for zone in zones]
@@ -511,9 +507,7 @@
             brought = [sum(column) or 1.0 for column in zip(*due, strict=True)]
             fair = [w / sum(weight) * sum(brought) / b for w, b in zip(weight, brought, strict=True)]
             pull = [[each * f for each, f in zip(row, fair, strict=True)] for row in pull]
-        return due
-
-    # ---- from what is to what should be
+        return [[min(each, come[zone] * self.bears[p]) for p, each in enumerate(due[zone])] for zone in zones]
 
     def _reconcile(self, lines: list[float], out: list[bool]) -> None:
         while self.channel and self.now - self.channel[0][2] > self.patience:
@@ -552,13 +546,13 @@
         alive = {part for part, line, gone in zip(self.part, lines, out, strict=True) if line and not gone}
         for proxy, part in self.due_part.items():
             held = self.held_part.get(proxy)
-            moves = held in alive  # the others are joining, or hold a part that has lost all
+            moves = held in alive and proxy not in self.fleeing  # the others join, or cannot stay
             if held == part or (moves and not free):
                 continue
             ours = [bool(self.line[i]) + self.shut[i] for i, p in enumerate(self.part) if p == part]
             size, share = 1 + sum(ours) + len(self.objectives) + self.head, ORDINARY_SHARE if moves else 1.0
-            fits = self._waiting() + sum(messages.values()) + size <= self.cap * share
-            if not fits or not self._may_write(proxy, share):
+            waiting = self._waiting() + sum(messages.values())
+            if waiting + size > self.cap * share or not self._may_write(proxy, share):
                 continue
             go.append(face.UseTable(0, part, proxy))
             self.held_part[proxy] = part
