--- /dev/null
+++ b/driftshed/cli.py
@@ -0,0 +1,19 @@
+"""The command line: one `driftshed` command with sub-commands."""
+
+from __future__ import annotations
+
+import click
+
+from driftshed.supervisor.command import supervise
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.version_option(package_name="driftshed")
+def main() -> None:
+    """Tells plain proxies which servers their work goes to."""
+
+
+main.add_command(supervise)
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/driftshed/net/http.py
@@ -0,0 +1,370 @@
+"""HTTP/1.1 on the loop, both sides: a server with bounds on everything and a client with kept connections."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple
+
+import httptools
+
+from driftshed.net.loop import Loop, Timer
+from driftshed.net.stream import Listener, Stream, Tap, dial
+
+PHRASES = {status.value: status.phrase for status in HTTPStatus}
+MOST_PIPELINED = 16  # requests of one connection that wait behind the one being answered
+
+
+class Bounds(NamedTuple):
+    """What a server takes: sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 1 << 20
+    out_bytes: int = 4 << 20
+    connections: int = 16384
+    head_within: float = 10.0  # a request that was begun is whole within this
+    idle_for: float = 75.0  # a connection with nothing asked on it is closed after this
+
+
+class Request:
+    """One request and the one answer to it. `on_gone` is called when its connection ends before the answer."""
+
+    __slots__ = ("method", "path", "query", "headers", "body", "connection", "on_gone", "answered", "keep", "note")
+
+    def __init__(self, connection: ServerConnection) -> None:
+        self.connection = connection
+        self.method, self.path, self.query, self.body = "", "", "", b""
+        self.headers: dict[bytes, bytes] = {}
+        self.on_gone: Callable[[], object] | None = None
+        self.answered, self.keep, self.note = False, True, None
+
+    def answer(self, status: int, body: bytes = b"", kind: str = "application/json", extra: str = "") -> None:
+        """Answers, once; `extra` is whole header lines, each ended by CR LF. After that, or when the connection has
+        ended, nothing happens."""
+        if self.answered:
+            return
+        self.answered, self.on_gone = True, None
+        self.connection._answer(self, status, body, kind, extra)
+
+
+class ServerConnection:
+    """One peer of a server: requests are answered one at a time, in the order in which they came."""
+
+    __slots__ = ("server", "stream", "parser", "request", "waiting", "head_size", "timer", "broken", "target", "whole")
+
+    def __init__(self, server: HttpServer, stream: Stream) -> None:
+        self.server, self.stream = server, stream
+        self.parser = httptools.HttpRequestParser(self)
+        self.request: Request | None = None  # being read
+        self.waiting: deque[Request] = deque()  # read; the first is being answered
+        self.head_size, self.broken, self.target, self.whole = 0, 0, b"", False
+        stream.on_data, stream.on_end = self._data, self._end
+        self.timer: Timer | None = None
+        self._time(server.bounds.idle_for, self._idle)
+
+    @property
+    def peer(self) -> tuple[str, int]:
+        return self.stream.peer
+
+    def _time(self, seconds: float, call: Callable[[], object]) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.server.loop.after(seconds, call)
+
+    def _idle(self) -> None:
+        self.stream.abort("idle")
+
+    def _slow(self) -> None:
+        self._refuse(408, "the request was not whole in time")
+
+    def _data(self, data: bytes) -> None:
+        if self.broken:
+            return
+        if self.request is None and not self.waiting:
+            self._time(self.server.bounds.head_within, self._slow)
+        self.head_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.broken = self.broken or 400
+        except httptools.HttpParserError:
+            self.broken = self.broken or 400
+        if self.broken:
+            reasons = {413: "the body is too large", 431: "the headers are too large"}
+            self._refuse(self.broken, reasons.get(self.broken, "this is not HTTP/1.1 as we speak it"))
+            return
+        bounds = self.server.bounds
+        if self.request is not None and not self.whole and self.head_size > bounds.header_bytes:
+            self._refuse(431, "the headers are too large")
+        elif len(self.waiting) > MOST_PIPELINED:
+            self.stream.pause(True)
+
+    # What the parser calls.
+    def on_message_begin(self) -> None:
+        self.request, self.target, self.whole = Request(self), b"", False
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.request.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.whole = True
+        length = self.request.headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self.server.bounds.body_bytes:
+            self.broken = 413
+            raise ValueError("too large")
+
+    def on_body(self, body: bytes) -> None:
+        self.request.body += body
+        if len(self.request.body) > self.server.bounds.body_bytes:
+            self.broken = 413
+            raise ValueError("too large")
+
+    def on_message_complete(self) -> None:
+        request, self.request, self.head_size = self.request, None, 0
+        request.method = self.parser.get_method().decode("ascii", "replace")
+        path, _, request.query = self.target.decode("latin-1").partition("?")
+        request.path, request.keep = path, self.parser.should_keep_alive()
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        self.waiting.append(request)
+        if len(self.waiting) == 1:
+            self._next()
+
+    def _next(self) -> None:
+        if self.waiting and not self.waiting[0].answered:
+            self.server.handle(self.waiting[0])
+
+    def _answer(self, request: Request, status: int, body: bytes, kind: str, extra: str) -> None:
+        if self.stream.sock is None:
+            return
+        keep = request.keep and not self.server.closing
+        end = "\r\n" if keep else "connection: close\r\n\r\n"
+        head = (
+            f"HTTP/1.1 {status} {PHRASES.get(status, 'Other')}\r\ncontent-type: {kind}\r\n"
+            f"content-length: {len(body)}\r\n{extra}{end}"
+        )
+        self.stream.write(head.encode("latin-1") + body)
+        if self.waiting and self.waiting[0] is request:
+            self.waiting.popleft()
+        if not keep:
+            self.stream.finish()
+            return
+        if self.stream.sock is None:
+            return
+        if self.waiting:
+            self.server.loop.soon(self._next)
+        elif self.request is None:
+            self._time(self.server.bounds.idle_for, self._idle)
+        if self.stream.paused and len(self.waiting) <= MOST_PIPELINED / 2:
+            self.stream.pause(False)
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Answers what cannot be read, and ends the connection."""
+        self.broken = self.broken or status
+        if self.waiting:  # those before it are answered first, or not at all
+            self.stream.abort("malformed")
+            return
+        request = self.request or Request(self)
+        request.keep = False
+        request.answer(status, self.server.refusal(reason))
+
+    def _end(self, reason: str) -> None:
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        self.server.connections.discard(self)
+        waiting, self.waiting, self.request = self.waiting, deque(), None
+        for request in waiting:
+            request.answered = True
+            if request.on_gone:
+                gone, request.on_gone = request.on_gone, None
+                gone()
+        self.parser = None
+        if self.server.on_connection_end:
+            self.server.on_connection_end(self, reason)
+
+
+class HttpServer:
+    """Serves `handle(request)` at one address. `refusal(reason)` makes the body of an answer to what is malformed."""
+
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], handle: Callable[[Request], object], bounds: Bounds = Bounds(),
+        refusal: Callable[[str], bytes] = lambda reason: reason.encode(),
+    ) -> None:  # fmt: skip
+        self.loop, self.handle, self.bounds, self.refusal = loop, handle, bounds, refusal
+        self.connections: set[ServerConnection] = set()
+        self.on_connection_end: Callable[[ServerConnection, str], object] | None = None
+        self.on_connection: Callable[[Stream], object] | None = None
+        self.closing = False
+        self.turned_away = 0
+        self.listener = Listener(loop, address, self._accept, bounds.out_bytes)
+        self.address = self.listener.address
+
+    def _accept(self, stream: Stream) -> None:
+        if self.on_connection:
+            self.on_connection(stream)
+        if len(self.connections) >= self.bounds.connections:
+            self.turned_away += 1
+            body = self.refusal("too many connections; come back later")
+            stream.write(
+                b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: "
+                + str(len(body)).encode() + b"\r\n\r\n" + body
+            )  # fmt: skip
+            stream.finish()
+            return
+        if stream.sock is not None:
+            self.connections.add(ServerConnection(self, stream))
+
+    def close(self, now: bool = True) -> None:
+        """Listens no more. With `now` every connection ends too; else each ends after its next answer."""
+        self.closing = True
+        self.listener.close()
+        for connection in list(self.connections):
+            if now or not connection.waiting:
+                connection.stream.abort("closed")
+
+
+class Answer(NamedTuple):
+    """What came of a call. `status` 0: none came, and `error` says why: "refused" and "unreachable" (nothing was
+    sent), "closed" and "reset" (sent, or some of it, when the connection ended), "late" (given up after its time)."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    error: str = ""
+    sent: bool = False  # some byte of the request may have reached the other side
+
+
+class ClientConnection:
+    """One kept connection of a client, with at most one call on it."""
+
+    __slots__ = ("client", "stream", "parser", "call", "headers", "body", "status", "sent", "calls")
+
+    def __init__(self, client: HttpClient, stream: Stream) -> None:
+        self.client, self.stream, self.call = client, stream, None
+        self.headers, self.body, self.status, self.sent, self.calls = {}, b"", 0, False, 0
+        self.parser = httptools.HttpResponseParser(self)
+        stream.on_data, stream.on_end, stream.on_open = self._data, self._end, self._open
+
+    def start(self, call: Call) -> None:
+        self.call, self.sent, self.status, self.headers, self.body = call, False, 0, {}, b""
+        self.calls += 1
+        if not self.stream.connecting:
+            self._open()
+
+    def _open(self) -> None:
+        if self.call:
+            self.sent = True
+            self.stream.write(self.call.data)
+
+    def _data(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.stream.abort("malformed")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+        if len(self.body) > self.client.most_body:
+            raise ValueError("too large")
+
+    def on_message_complete(self) -> None:
+        call, self.call = self.call, None
+        if call is None:
+            return
+        keep = self.parser.should_keep_alive()
+        answer = Answer(self.parser.get_status_code(), self.headers, self.body, "", True)
+        self.parser = httptools.HttpResponseParser(self)
+        if keep and self.stream.sock is not None:
+            self.client._free(self)
+        else:
+            self.stream.abort("ended")
+        call.done(answer)
+
+    def _end(self, reason: str) -> None:
+        call, self.call = self.call, None
+        self.client._lost(self)
+        if call:
+            error = {"ended": "closed", "malformed": "closed", "stuck": "closed"}.get(reason, reason)
+            call.done(Answer(0, {}, self.body, error, self.sent))
+
+
+class Call:
+    """One request of a client under way; `cancel()` gives it up and ends its connection."""
+
+    __slots__ = ("data", "on_done", "timer", "connection")
+
+    def __init__(self, data: bytes, on_done: Callable[[Answer], object]) -> None:
+        self.data, self.on_done, self.timer, self.connection = data, on_done, None, None
+
+    def done(self, answer: Answer) -> None:
+        if self.timer:
+            self.timer.cancel()
+        on_done, self.on_done = self.on_done, None
+        if on_done:
+            on_done(answer)
+
+    def cancel(self, error: str = "late") -> None:
+        if self.on_done is not None:
+            self.connection.stream.abort(error)
+
+
+class HttpClient:
+    """Calls to one address over kept connections, one call a connection, the connection used last first."""
+
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], source: str | None = None, most_body: int = 8 << 20,
+        tap: Callable[[], Tap] | None = None, idle_most: int = 64,
+    ) -> None:  # fmt: skip
+        self.loop, self.address, self.source, self.most_body = loop, address, source, most_body
+        self.tap, self.idle_most = tap, idle_most
+        self.idle: list[ClientConnection] = []
+        self.all: set[ClientConnection] = set()
+        self.host = f"host: {address[0]}:{address[1]}\r\n"
+
+    def call(
+        self, method: str, path: str, body: bytes, on_done: Callable[[Answer], object], within: float,
+        extra: str = "", kind: str = "application/json", fresh: bool = False,
+    ) -> Call:  # fmt: skip
+        """Sends a request and tells `on_done(answer)`, once, within `within` seconds. `fresh`: on a new connection."""
+        head = f"{method} {path} HTTP/1.1\r\n{self.host}{extra}"
+        if body or method in ("POST", "PUT"):
+            head += f"content-type: {kind}\r\ncontent-length: {len(body)}\r\n"
+        call = Call(head.encode("latin-1") + b"\r\n" + body, on_done)
+        if self.idle and not fresh:
+            connection = self.idle.pop()
+        else:
+            try:
+                stream = dial(self.loop, self.address, self.source, tap=self.tap() if self.tap else None)
+            except OSError:
+                self.loop.soon(lambda: call.done(Answer(0, {}, b"", "unreachable")))
+                return call
+            connection = ClientConnection(self, stream)
+            self.all.add(connection)
+        call.connection = connection
+        call.timer = self.loop.after(within, call.cancel)
+        connection.start(call)
+        return call
+
+    def _free(self, connection: ClientConnection) -> None:
+        if len(self.idle) < self.idle_most:
+            self.idle.append(connection)
+        else:
+            connection.stream.abort("ended")
+
+    def _lost(self, connection: ClientConnection) -> None:
+        self.all.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def close(self) -> None:
+        for connection in list(self.all):
+            connection.stream.abort("closed")
--- /dev/null
+++ b/driftshed/supervisor/command.py
@@ -0,0 +1,64 @@
+"""`driftshed supervise`: one supervisor as a process."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+
+import click
+
+from driftshed.core.instance import Instance
+from driftshed.net.http import Bounds
+from driftshed.net.loop import Loop
+from driftshed.supervisor.flags import fact_options, option, start_facts
+from driftshed.supervisor.logs import LEVELS, make_log
+from driftshed.supervisor.service import Service
+
+
+@click.command()
+@option("listen", type=click.STRING, default="127.0.0.1:0", help="address:port; port 0 takes a free one")
+@option("seed", type=click.IntRange(0, 2**63 - 1), default=1, help="of the instance's chance")
+@option("wait-most", type=click.FloatRange(0.1, 600), default=20.0, help="seconds that a poll is held")
+@option("silence", type=click.FloatRange(0.1, 600), default=3.0, help="seconds without a poll that end a stream")
+@option("connections", type=click.IntRange(1, 100000), default=16384, help="connections taken at the most")
+@option("body-bytes", type=click.IntRange(1024, 1 << 28), default=1 << 20, help="the largest body taken")
+@option("log-form", type=click.Choice(["json", "console"]), default="json", help="how logs are written")
+@option("log-level", type=click.Choice(list(LEVELS)), default="info", help="the least that is logged")
+@fact_options
+def supervise(
+    listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
+    log_level: str, **given: object,
+) -> None:  # fmt: skip
+    """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
+    host, _, port = listen.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise click.BadParameter(f"{listen!r}: write address:port, such as 127.0.0.1:7000", param_hint="--listen")
+    if not host.startswith("127."):
+        raise click.BadParameter(f"{host!r}: loopback alone is served; take an address of 127.", param_hint="--listen")
+    facts = start_facts(given)
+    log = make_log(log_form, log_level)
+    loop = Loop()
+    loop.on_error = lambda error: log("fault", level="error", error=f"{type(error).__name__}: {error}")
+    run = os.urandom(5).hex()
+    instance = Instance(facts, seed, run, loop.clock(), wall=time.monotonic() - time.time())
+    try:
+        service = Service(
+            loop, instance, (host, int(port)), log, wait_most, silence,
+            Bounds(body_bytes=body_bytes, connections=connections),
+        )  # fmt: skip
+    except OSError as error:
+        raise click.BadParameter(f"{listen}: {error.strerror}; take a free port, or 0", param_hint="--listen") from None
+
+    def stop(number: int) -> None:
+        log("stopping", signal=signal.Signals(number).name)
+        service.stop()
+
+    loop.on_signals((signal.SIGTERM, signal.SIGINT), stop)
+    log("listening", address=f"{service.address[0]}:{service.address[1]}", run=run, seed=seed)
+    print(f"listening {service.address[0]}:{service.address[1]}", flush=True)
+    loop.run()
+    loop.close()
+    log("stopped")
+    sys.stderr.flush()
--- /dev/null
+++ b/driftshed/supervisor/flags.py
@@ -0,0 +1,193 @@
+"""The flags of a supervisor and the start facts that they make. Each flag is also `DRIFTSHED_` and its name in
+capitals in the environment; there is no other way to set anything."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Annotated, Literal, NamedTuple
+
+import click
+import msgspec
+from msgspec import Meta, Struct
+
+from driftshed import interface as face
+
+Span = Annotated[float, Meta(gt=0, le=86400)]
+Part = Annotated[float, Meta(ge=0, le=1)]
+
+
+class OperationFlag(Struct, forbid_unknown_fields=True):
+    """`--operation NAME:key=value,...`"""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    objective: Span
+    timeout: Span
+    value: Annotated[float, Meta(gt=0)]
+    effect: Literal["idempotent", "fingerprinted", "side-effecting"] = "side-effecting"
+    late: Part = 0.0
+    scope: Literal["all", "zone", "cell"] = "all"
+    window: Span | None = None
+    writes: bool = False
+    local: bool = False
+
+
+OPERATION_HELP = (
+    "one kind of invocation, NAME:key=value,...: objective and timeout (seconds), value (billed), effect (idempotent, "
+    "fingerprinted or side-effecting), late (share of the value past the objective), scope and window (which servers "
+    "drop a repeat, for how long), writes, local. Give it once for each operation; in the environment, apart by ';'"
+)
+
+
+def read_operation(text: str) -> face.Operation:
+    """The operation that one flag names; click.BadParameter with the remedy where it is not well said."""
+    name, colon, rest = text.strip().partition(":")
+    try:
+        given = dict(part.split("=", 1) for part in rest.split(",") if part)
+    except ValueError:
+        raise click.BadParameter(f"{text!r}: after the name and a colon write key=value pairs, comma between") from None
+    if not colon:
+        raise click.BadParameter(f"{text!r}: write NAME:objective=0.5,timeout=1.5,value=1")
+    try:
+        flag = msgspec.convert({"name": name, **given}, OperationFlag, strict=False)
+    except msgspec.ValidationError as error:
+        raise click.BadParameter(f"{text!r}: {error}") from None
+    if flag.timeout <= flag.objective:
+        raise click.BadParameter(f"{text!r}: timeout must be above objective ({flag.objective} s)")
+    if (flag.effect == "fingerprinted") != (flag.window is not None):
+        raise click.BadParameter(f"{text!r}: window=SECONDS goes with effect=fingerprinted, and only with it")
+    return face.Operation(
+        flag.name, flag.objective, flag.timeout, flag.value, flag.late, flag.effect, flag.scope, flag.window,
+        flag.writes, flag.local,
+    )  # fmt: skip
+
+
+class OperationType(click.ParamType):
+    name = "operation"
+
+    def convert(self, value: object, param: object, context: object) -> face.Operation:
+        if isinstance(value, face.Operation):
+            return value
+        try:
+            return read_operation(str(value))
+        except click.BadParameter as error:
+            self.fail(error.message, param, context)
+
+    def split_envvar_value(self, value: str) -> list[str]:
+        return [part for part in value.split(";") if part.strip()]
+
+
+class Names(click.ParamType):
+    name = "names"
+
+    def convert(self, value: object, param: object, context: object) -> tuple[str, ...]:
+        if isinstance(value, tuple):
+            return value
+        names = tuple(part.strip() for part in str(value).split(",") if part.strip())
+        if not names or len(set(names)) < len(names):
+            self.fail(f"{value!r}: names wanted, a comma between, each once", param, context)
+        return names
+
+
+class Flag(NamedTuple):
+    """One flag: its name, the start fact that it sets, its type, what holds unless it is given, and its help."""
+
+    name: str
+    fact: str
+    kind: click.ParamType
+    default: object
+    help: str
+
+
+def _above(least: float) -> click.FloatRange:
+    return click.FloatRange(least, 1e9, min_open=True)
+
+
+COUNT, MANY = click.IntRange(0, 65535), click.IntRange(1, 65535)
+SECONDS, SHARE = click.FloatRange(0, 86400, min_open=True), click.FloatRange(0, 1, min_open=True)
+
+FLAGS = (
+    Flag("zones", "zones", Names(), "east,west", "names of the zones, a comma between"),
+    Flag("kinds", "kinds", Names(), "standard", "names of the machine kinds"),
+    Flag("load-fields", "load_fields", click.STRING, "", "load figures in reports: in flight, queued, utilisation"),
+    Flag("weights", "listed_weights", click.Choice(["off", "nominal", "rough", "live"]), "off", "what weights mean"),
+    Flag("proxies", "proxies", MANY, 16, "proxies of the deployment, at all supervisors together"),
+    Flag("supervisors", "supervisors", MANY, 1, "supervisors of the deployment"),
+    Flag("own-number", "own_number", COUNT, 0, "which of them this one is, from 0"),
+    Flag("cold-share", "cold_share", SHARE, 0.2, "of its capacity that a server surely has at its start"),
+    Flag("warm-within", "warm_within", SECONDS, 15.0, "seconds after its start within which a server is warm"),
+    Flag("drain-grace", "drain_grace", SECONDS, 2.0, "seconds within which sends to a draining or gone server end"),
+    Flag("tip-multiple", "tip_multiple", _above(1), 3.0, "times its capacity at which a cold server falls over"),
+    Flag("tip-span", "tip_span", SECONDS, 2.0, "seconds of that after which it does"),
+    Flag("bare-for", "bare_for", SECONDS, 4.0, "seconds that a joined proxy may lack a line to pick"),
+    Flag("queue-cap", "queue_cap", _above(0), 1500.0, "lines that may wait in the channel"),
+    Flag("lines-per-second", "lines_per_second", _above(0), 1000.0, "pace of the channel"),
+    Flag("lines-per-message", "lines_per_message", click.FloatRange(0, 1000), 3.0, "lines a message counts on top"),
+    Flag("message-cap", "message_cap", COUNT, 30, "messages to one proxy within --message-span; 0: no cap"),
+    Flag("message-span", "message_span", SECONDS, 10.0, "seconds"),
+    Flag("transit", "transit", SECONDS, 0.05, "mean seconds from leaving the channel to the proxy's answer"),
+    Flag("worst-transit", "worst_transit", SECONDS, 0.5, "the longest such time"),
+    Flag("levels", "level_form", click.Choice(["share", "rate", "off"]), "share", "how proxies let less in"),
+    Flag("pick", "pick", click.Choice(["weighted", "round", "two"]), "weighted", "how proxies pick a line"),
+    Flag("try-objectives", "try_objectives", _above(0), 1.0, "objectives that a try which may be followed waits"),
+    Flag("default-tries", "default_tries", click.IntRange(0, 3), 0, "how proxies try again before they are told"),
+    Flag("standing-lines", "standing_lines", COUNT, 5, "lines of the table that a proxy starts with"),
+    Flag("report-period", "report_period", SECONDS, 0.5, "seconds between the sums that the module hears"),
+    Flag("report-lines", "report_lines_per_second", _above(0), 250.0, "lines of those sums a second at the most"),
+    Flag("least-connections", "least_connections", _above(0), 400.0, "connections that the smallest server accepts"),
+    Flag("connect-timeout", "connect_timeout", SECONDS, 0.25, "seconds that a proxy waits on a connection"),
+    Flag("idle-close", "idle_close", SECONDS, 15.0, "seconds after which proxies close idle connections"),
+    Flag("full-may-have-run", "full_may_have_run", click.BOOL, False, "full servers may have begun what they refuse"),
+)  # fmt: skip
+
+# Facts that this program has no use for or one way with: the list is pushed, nothing is probed or told to peers, and
+# keys have no slices.
+FIXED = {
+    "own_zone": 0, "list_is_pushed": True, "may_probe": False, "may_tell_peers": False, "only_draining_binds": False,
+    "ask_within": 10.0, "line_price": 0.0, "avoids_after": 0, "slices": 0, "sole_owner": False, "keeps_writing": None,
+    "write_settles": None, "buffer_for": None, "move_price": 0.0, "warm_keys": False, "streams": 1, "tick": 0.002,
+}  # fmt: skip
+
+
+def envvar(name: str) -> str:
+    return "DRIFTSHED_" + name.upper().replace("-", "_")
+
+
+def option(name: str, *names: str, **more: object) -> Callable:
+    """A click option that is also read from the environment."""
+    return click.option(f"--{name}", *names, envvar=envvar(name), show_default=True, **more)
+
+
+def fact_options(command: Callable) -> Callable:
+    """Adds the flags of the start facts to a command."""
+    for flag in reversed(FLAGS):
+        command = option(flag.name, flag.fact, type=flag.kind, default=flag.default, help=flag.help)(command)
+    kind = OperationType()
+    return option("operation", "operations", type=kind, multiple=True, required=True, help=OPERATION_HELP)(command)
+
+
+def start_facts(given: dict) -> face.StartFacts:
+    """The start facts of the flags' values; click.BadParameter names the flag and the remedy where two of them do not
+    go together."""
+    facts = {name: given[name] for name in face.StartFacts._fields if name in given} | FIXED
+    fields = tuple(part.strip() for part in facts["load_fields"].split(",") if part.strip())
+    known = ("in flight", "queued", "utilisation", "service time")
+    if not set(fields) <= set(known):
+        _bad("load-fields", f"{facts['load_fields']!r}: only {', '.join(known)} are known")
+    facts |= {"load_fields": fields, "load_reports_come": "inline" if fields else "off"}
+    names = [operation.name for operation in facts["operations"]]
+    if len(set(names)) < len(names) or len(names) > 16:
+        _bad("operation", "at most 16 operations, each name once")
+    if facts["own_number"] >= facts["supervisors"]:
+        _bad("own-number", f"{facts['own_number']}: must be below --supervisors ({facts['supervisors']})")
+    if facts["worst_transit"] < facts["transit"]:
+        _bad("worst-transit", f"{facts['worst_transit']}: must not be below --transit ({facts['transit']})")
+    least = facts["lines_per_message"] + 2 + len(names)
+    if facts["queue_cap"] < 4 * least:
+        _bad("queue-cap", f"{facts['queue_cap']}: must hold a few whole messages, {4 * least:g} lines or more")
+    if 0 < facts["message_cap"] < 4:
+        _bad("message-cap", f"{facts['message_cap']}: 0 for no cap, or 4 and more")
+    return face.StartFacts(**facts)
+
+
+def _bad(flag: str, text: str) -> None:
+    raise click.BadParameter(text, param_hint=f"--{flag}")
--- /dev/null
+++ b/driftshed/supervisor/service.py
@@ -0,0 +1,315 @@
+"""The API of a supervisor: HTTP requests in, calls of the core, answers out. Paths and fields: docs/api.md."""
+
+from __future__ import annotations
+
+import time
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from driftshed import interface as face
+from driftshed.core.hub import Record, Refused
+from driftshed.core.instance import Instance
+from driftshed.core.messages import Join, JoinAnswer, Report, RosterNews, encode, server_name
+from driftshed.net.http import Bounds, HttpServer, Request, ServerConnection
+from driftshed.net.loop import Loop, Timer
+
+DECODERS = {kind: msgspec.json.Decoder(kind) for kind in (Join, Report, RosterNews)}
+STATE_NAMES = {face.READY: "ready", face.DRAINING: "draining"}
+
+
+def refusal(reason: str) -> bytes:
+    return encode({"error": reason})
+
+
+class Poll:
+    """What the service holds of one joined proxy: its stream, the connection it is on, the poll that waits."""
+
+    __slots__ = ("stream", "connection", "request", "timer", "record")
+
+    def __init__(self, record: Record) -> None:
+        self.record, self.stream = record, record.stream
+        self.connection: ServerConnection | None = None
+        self.request: Request | None = None
+        self.timer: Timer | None = None
+
+
+class Service:
+    """Serves one instance. `wait_most`: seconds that a poll is held at the most; `silence`: a stream without a poll
+    for so long has ended. `log(event, **fields)` gets one event a thing that happened."""
+
+    def __init__(
+        self, loop: Loop, instance: Instance, address: tuple[str, int], log, wait_most: float = 20.0,
+        silence: float = 3.0, bounds: Bounds = Bounds(),
+    ) -> None:  # fmt: skip
+        self.loop, self.instance, self.log = loop, instance, log
+        self.wait_most, self.silence, self.bounds = wait_most, silence, bounds
+        self.polls: dict[int, Poll] = {}
+        self.on_connection: dict[ServerConnection, Poll] = {}
+        self.timer: Timer | None = None
+        self.turn_due = False
+        self.refused = 0
+        self.began = loop.clock()
+        self.http = HttpServer(loop, address, self._handle, bounds, refusal)
+        self.http.on_connection_end = self._connection_ended
+        self.address = self.http.address
+        instance.on_log = lambda text: log("decided", text=text)
+        instance.on_fault = self._fault
+        self._schedule()
+
+    # ---- turns ------------------------------------------------------------------------------------------------
+
+    def _soon(self) -> None:
+        """A turn within the tick, so that what comes in together is heard together."""
+        if not self.turn_due:
+            self.turn_due = True
+            self.loop.after(self.instance.facts.tick, self._turn)
+
+    def _turn(self) -> None:
+        self.turn_due = False
+        for record in self.instance.turn(self.loop.clock()):
+            poll = self.polls.get(record.proxy)
+            if poll is not None and poll.request is not None:
+                self._answer_poll(poll)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        at = self.instance.next_at()
+        if self.timer is not None and self.timer.call is not None:
+            if self.timer.at <= at + 1e-4 and self.timer.at > self.loop.now:
+                return  # it wakes early enough; the next is set then
+            self.timer.cancel()
+        self.timer = self.loop.at(at, self._turn)
+
+    def _fault(self, fault) -> None:
+        turns = [{"at": at, "events": [f"{type(e).__name__}{tuple(e)!r}"[:400] for e in events[:50]]}
+                 for at, events in fault.turns]  # fmt: skip
+        self.log("module_fault", level="error", error=fault.error, place=fault.place, turns=turns)
+
+    # ---- requests ---------------------------------------------------------------------------------------------
+
+    def _handle(self, request: Request) -> None:
+        try:
+            self._route(request)
+        except Refused as error:
+            self.refused += 1
+            self.log("refused", level="debug", path=request.path, status=error.status, reason=error.reason)
+            request.answer(error.status, refusal(error.reason), extra="retry-after: 1\r\n" * (error.status == 503))
+        except Exception as error:
+            self.log("handler_fault", level="error", path=request.path, error=f"{type(error).__name__}: {error}")
+            request.answer(500, refusal("a fault of the supervisor; it is in its log"))
+
+    def _route(self, request: Request) -> None:
+        parts = request.path.strip("/").split("/")
+        method = request.method
+        if parts[:2] == ["v1", "proxies"] and len(parts) == 4:
+            proxy = self._proxy(parts[2])
+            if (method, parts[3]) == ("GET", "changes"):
+                return self._changes(request, proxy)
+            if (method, parts[3]) == ("POST", "report"):
+                return self._report(request, proxy)
+            if (method, parts[3]) == ("POST", "join"):
+                return self._join(request, proxy)
+            if (method, parts[3]) == ("POST", "leave"):
+                return self._leave(request, proxy)
+            if parts[3] in ("changes", "report", "join", "leave"):
+                raise Refused(405, f"{method} is not a way to call {request.path}")
+        views = {"tables": self._tables, "servers": self._servers, "proxies": self._proxies, "roster": self._roster,
+                 "channel": self._channel}  # fmt: skip
+        if (method, parts) == ("POST", ["v1", "roster"]):
+            news = self._body(request, RosterNews)
+            self.instance.hear_roster(news)
+            self.log("roster", version=news.version, whole=news.whole, servers=len(news.servers))
+            self._soon()
+            return request.answer(200, encode({"version": news.version}))
+        if len(parts) == 2 and parts[0] == "v1" and parts[1] in views:
+            if method != "GET":
+                raise Refused(405, f"{method} is not a way to call {request.path}")
+            return request.answer(200, encode(views[parts[1]]()))
+        raise Refused(404, f"there is nothing at {request.path[:200]}")
+
+    @staticmethod
+    def _proxy(text: str) -> int:
+        if not (text.isascii() and text.isdigit() and len(text) < 6 and int(text) < 65536):
+            raise Refused(400, f"proxy {text[:64]!r}: a whole number below 65536 is wanted")
+        return int(text)
+
+    @staticmethod
+    def _body(request: Request, kind: type):
+        given = request.headers.get(b"content-type", b"").split(b";")[0].strip().lower()
+        if given != b"application/json":
+            raise Refused(415, "content-type must be application/json")
+        try:
+            return DECODERS[kind].decode(request.body)
+        except msgspec.DecodeError as error:  # ValidationError is one
+            raise Refused(400, str(error)) from None
+
+    def _join(self, request: Request, proxy: int) -> None:
+        join = self._body(request, Join)
+        record, replaced = self.instance.join(proxy, join, self.loop.now)
+        old = self.polls.pop(proxy, None)
+        if old is not None:
+            self._end_poll(old, 409, "replaced by a newer stream of this proxy")
+        poll = self.polls[proxy] = Poll(record)
+        self._listen(poll, request.connection)
+        self._await_poll(poll)
+        self.log("joined", proxy=proxy, zone=join.zone, version=record.acked, resumed=join.run == self.instance.hub.run,
+                 replaced=replaced)  # fmt: skip
+        self._soon()
+        answer = JoinAnswer(
+            self.instance.hub.run, record.stream, record.acked, list(self.instance.operations), self.wait_most,
+            self.instance.facts.report_period,
+        )  # fmt: skip
+        request.answer(200, encode(answer))
+
+    def _listen(self, poll: Poll, connection: ServerConnection) -> None:
+        """The stream is on the connection that it was last heard on; when that ends, so does the stream."""
+        if poll.connection is not connection:
+            if self.on_connection.get(poll.connection) is poll:
+                del self.on_connection[poll.connection]
+            poll.connection = connection
+            self.on_connection[connection] = poll
+
+    def _await_poll(self, poll: Poll) -> None:
+        # Guards against a proxy that is cut off without a word: its stream would stand for ever.
+        poll.timer = self.loop.after(self.silence, lambda: self._left(poll, "silent"))
+
+    def _changes(self, request: Request, proxy: int) -> None:
+        asked = dict(parse_qsl(request.query))
+        record = self.instance.record(proxy, asked.get("stream", ""))
+        try:
+            after, wait = int(asked.get("after", "")), float(asked.get("wait", self.wait_most))
+            if after < 0 or not 0 <= wait < 1e6:
+                raise ValueError
+        except ValueError:
+            raise Refused(400, "after=VERSION (a whole number) and wait=SECONDS (0 or more) are wanted") from None
+        self.instance.ack(record, after, self.loop.now)
+        poll = self.polls[proxy]
+        if poll.request is not None:
+            self._answer(poll, 409, refusal("another poll of this stream came"))
+        if poll.timer:
+            poll.timer.cancel()
+        self._listen(poll, request.connection)
+        poll.request = request
+        if self.instance.news:
+            self._soon()
+        body = self.instance.hub.news(record)
+        if body is not None:
+            self._answer(poll, 200, body)
+        else:
+            poll.timer = self.loop.after(min(wait, self.wait_most), lambda: self._poll_over(poll))
+
+    def _poll_over(self, poll: Poll) -> None:
+        self._answer(poll, 200, self.instance.hub.no_news(poll.record))
+
+    def _answer_poll(self, poll: Poll) -> None:
+        body = self.instance.hub.news(poll.record)
+        if body is not None:
+            self._answer(poll, 200, body)
+
+    def _answer(self, poll: Poll, status: int, body: bytes) -> None:
+        if poll.timer:
+            poll.timer.cancel()
+        request, poll.request = poll.request, None
+        self._await_poll(poll)
+        request.answer(status, body)
+
+    def _end_poll(self, poll: Poll, status: int, reason: str) -> None:
+        if poll.timer:
+            poll.timer.cancel()
+        if self.on_connection.get(poll.connection) is poll:
+            del self.on_connection[poll.connection]
+        request, poll.request = poll.request, None
+        if request is not None:
+            request.answer(status, refusal(reason))
+
+    def _report(self, request: Request, proxy: int) -> None:
+        report = self._body(request, Report)
+        record = self.instance.record(proxy, report.stream)
+        self.instance.report(record, report, self.loop.now)
+        request.answer(200, b"{}")
+
+    def _leave(self, request: Request, proxy: int) -> None:
+        self.instance.record(proxy, dict(parse_qsl(request.query)).get("stream", ""))
+        self._left(self.polls[proxy], "said so")
+        request.answer(200, b"{}")
+
+    def _connection_ended(self, connection: ServerConnection, reason: str) -> None:
+        poll = self.on_connection.pop(connection, None)
+        if poll is not None:
+            self._left(poll, reason)
+
+    def _left(self, poll: Poll, reason: str) -> None:
+        proxy = poll.record.proxy
+        if self.polls.get(proxy) is not poll:
+            return
+        del self.polls[proxy]
+        self._end_poll(poll, 409, f"the stream has ended: {reason}")
+        self.instance.leave(proxy)
+        self.log("left", proxy=proxy, reason=reason)
+        self._soon()
+
+    # ---- views ------------------------------------------------------------------------------------------------
+
+    def _tables(self) -> dict:
+        hub = self.instance.hub
+        levels: dict[int, list] = {}
+        for level in hub.levels.values():
+            levels.setdefault(level.table, []).append(level)
+        return {
+            "run": hub.run,
+            "tables": {t: {server: line.weight for server, line in lines.items()} for t, lines in hub.tables.items()},
+            "levels": {table: {list(self.instance.operations)[level.operation]: [level.level, level.tries]
+                               for level in each} for table, each in levels.items()},
+            "out": sorted(hub.out),
+            "proxies": {table: list(users) for table, users in hub.users.items()},
+        }  # fmt: skip
+
+    def _servers(self) -> list[dict]:
+        """Every listed server: its lines, and why it has none or is out."""
+        hub, roster, now = self.instance.hub, self.instance.roster, self.loop.now
+        rows = []
+        for entry in roster.entries.values():
+            name = server_name(entry.server)
+            lines = {table: each[name].weight for table, each in hub.tables.items() if name in each}
+            said = self.instance.why.get(name)
+            why = ""
+            if entry.state != face.READY:
+                why = f"listed as {STATE_NAMES[entry.state]}"
+            elif name in hub.out:
+                why = f"{now - said[0]:.1f} s ago: {said[1]}" if said else "withdrawn"
+            elif not lines:
+                why = "listed, and no line ordered yet"
+            elif entry.started is not None and now - entry.started < self.instance.facts.warm_within:
+                why = f"in, with less weight: started {now - entry.started:.1f} s ago and may be cold"
+            rows.append({"server": name, "zone": self.instance.facts.zones[entry.zone], "lines": lines,
+                         "state": STATE_NAMES[entry.state], "out": name in hub.out, "why": why})  # fmt: skip
+        return rows
+
+    def _proxies(self) -> list[dict]:
+        return [
+            {"proxy": record.proxy, "zone": self.instance.facts.zones[record.zone], "joined": record.joined,
+             "tables": sorted(set(record.bound.values())), "version": record.version, "applied": record.acked}
+            for record in self.instance.hub.records.values()
+        ]  # fmt: skip
+
+    def _roster(self) -> dict:
+        return {"version": self.instance.roster.version, "servers": len(self.instance.roster.entries)}
+
+    def _channel(self) -> dict:
+        hub = self.instance.hub
+        return {
+            "waiting": hub.channel.waiting, "most_waiting": hub.channel.most_waiting,
+            "cap": self.instance.facts.queue_cap,
+            "messages": hub.messages_sent, "joined": len(self.polls), "connections": len(self.http.connections),
+            "faults": self.instance.faults, "refused": self.refused, "up": self.loop.clock() - self.began,
+            "cpu": time.process_time(),
+        }  # fmt: skip
+
+    def stop(self) -> None:
+        """Owes an answer to every poll that waits: it is told that the supervisor stops; then all ends."""
+        self.http.closing = True
+        for poll in list(self.polls.values()):
+            if poll.request is not None:
+                self._answer(poll, 503, refusal("the supervisor stops; dial again"))
+        self.loop.soon(lambda: (self.http.close(), self.loop.stop()))
