--- a/driftshed/cli.py
+++ b/driftshed/cli.py
@@ -4,6 +4,7 @@
 
 import click
 
+from driftshed.day.command import day
 from driftshed.supervisor.command import supervise
 
 
@@ -14,6 +15,7 @@
 
 
 main.add_command(supervise)
+main.add_command(day)
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/driftshed/day/script.py
@@ -0,0 +1,187 @@
+"""The script of a day: a TOML file checked by a schema. Times are seconds from the start of the day."""
+
+from __future__ import annotations
+
+import tomllib
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Literal
+
+import click
+import msgspec
+from msgspec import Meta, Struct
+
+from driftshed import interface as face
+from driftshed.standins.server import Machine
+from driftshed.supervisor.flags import FLAGS, read_operation, start_facts
+
+At = Annotated[float, Meta(ge=0, le=600)]
+Span = Annotated[float, Meta(gt=0, le=600)]
+Many = Annotated[int, Meta(ge=1, le=200)]
+
+
+class BadScript(Exception):
+    """What is wrong with a script, and where."""
+
+
+class Fleet(Struct, forbid_unknown_fields=True):
+    """The machines, zone by zone in turn; kinds as the flags name them."""
+
+    servers: Many
+    cores: Many = 2
+    speed: tuple[Annotated[float, Meta(gt=0, le=100)], ...] = (1.0,)  # by kind
+    room: Many = 40
+    roster_lag: At = 0.5
+
+
+class Traffic(Struct, forbid_unknown_fields=True):
+    """`rate`: invocations a second over all proxies; `uneven`: the busiest proxy's rate over the least one's."""
+
+    rate: Annotated[float, Meta(gt=0, le=5000)]
+    shares: list[Annotated[float, Meta(ge=0)]]
+    work: list[tuple[Span, Span]]
+    uneven: Annotated[float, Meta(ge=1, le=1000)] = 4.0
+    repeats: bool = True
+
+
+class Deploy(Struct, tag="deploy", forbid_unknown_fields=True):
+    """Servers drain one after the other, die `drain` later, and a cold successor at a new address starts."""
+
+    at: At
+    servers: Many
+    every: Span
+    drain: Span = 4.0
+    down: At = 0.5
+
+
+class Restart(Struct, tag="restart", forbid_unknown_fields=True):
+    """Servers die at once and come back cold."""
+
+    at: At
+    servers: Many
+    down: Span = 2.0
+
+
+class Sick(Struct, tag="sick", forbid_unknown_fields=True):
+    """Servers that hang, answer errors at once, or are slow."""
+
+    at: At
+    lasts: Span
+    how: Literal["hang", "errors", "slow"]
+    servers: Many = 1
+    size: Annotated[float, Meta(gt=0, le=100)] = 1.0  # share of errors; times slower
+
+
+class LateRoster(Struct, tag="late-roster", forbid_unknown_fields=True):
+    at: At
+    lasts: Span
+    by: Span
+
+
+class Cut(Struct, tag="cut", forbid_unknown_fields=True):
+    """Bytes of a zone's proxies do not come through: to the supervisor, to the servers of other zones, or both."""
+
+    at: At
+    lasts: Span
+    zone: str
+    what: Literal["supervisor", "servers", "both"] = "both"
+
+
+class Kill(Struct, tag="kill", forbid_unknown_fields=True):
+    """The supervisor dies by SIGKILL and is started anew."""
+
+    at: At
+    down: Span = 2.0
+
+
+class Pause(Struct, tag="pause", forbid_unknown_fields=True):
+    """The supervisor is stopped by SIGSTOP and goes on later, its sockets open all the while."""
+
+    at: At
+    lasts: Span
+
+
+class BreakStreams(Struct, tag="break-streams", forbid_unknown_fields=True):
+    """Each stream of a share of the proxies breaks halfway through its next delta."""
+
+    at: At
+    lasts: Span = 5.0
+    share: Annotated[float, Meta(gt=0, le=1)] = 1.0
+
+
+class DropStreams(Struct, tag="drop-streams", forbid_unknown_fields=True):
+    """Every stream is reset at once: all proxies join anew together."""
+
+    at: At
+
+
+class Surge(Struct, tag="surge", forbid_unknown_fields=True):
+    at: At
+    lasts: Span
+    times: Annotated[float, Meta(gt=0, le=100)]
+
+
+Trouble = (
+    Deploy | Restart | Sick | LateRoster | Cut | Kill | Pause | BreakStreams | DropStreams | Surge
+)  # fmt: skip
+
+
+class Script(Struct, forbid_unknown_fields=True):
+    """`flags`: of the supervisor, by name; `operations`: as `--operation` takes them."""
+
+    about: str
+    seconds: Annotated[float, Meta(ge=3, le=600)]
+    operations: Annotated[list[str], Meta(min_length=1)]
+    fleet: Fleet
+    traffic: Traffic
+    flags: dict[str, str | int | float | bool] = {}
+    troubles: list[Trouble] = []
+
+    @property
+    def facts(self) -> face.StartFacts:
+        """The start facts that the flags make, by the supervisor's own reading of them."""
+        given: dict[str, object] = {flag.fact: flag.kind.convert(flag.default, None, None) for flag in FLAGS}
+        by_name = {flag.name: flag for flag in FLAGS}
+        for name, value in self.flags.items():
+            if name not in by_name:
+                raise BadScript(f"flags: {name!r} is no flag of supervise")
+            given[by_name[name].fact] = by_name[name].kind.convert(value, None, None)
+        given["operations"] = tuple(read_operation(text) for text in self.operations)
+        return start_facts(given)
+
+    def machine(self, kind: int) -> Machine:
+        facts, fleet = self.facts, self.fleet
+        return Machine(fleet.cores, fleet.speed[kind % len(fleet.speed)], fleet.room, facts.cold_share,
+                       facts.warm_within, facts.tip_multiple, facts.tip_span)  # fmt: skip
+
+
+def known_scripts() -> list[str]:
+    """The names of the scripts that come with the program."""
+    folder = resources.files("driftshed.day") / "scripts"
+    return sorted(file.name.removesuffix(".toml") for file in folder.iterdir() if file.name.endswith(".toml"))
+
+
+def load_script(name: str) -> Script:
+    """A script by the name of one that comes along, or by its path; BadScript says what is wrong with it."""
+    if name in known_scripts():
+        text = (resources.files("driftshed.day") / "scripts" / f"{name}.toml").read_text()
+    else:
+        try:
+            text = Path(name).read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            raise BadScript(f"{name}: no file, and none of {', '.join(known_scripts())} ({error})") from None
+    try:
+        script = msgspec.convert(tomllib.loads(text), Script)
+        facts = script.facts
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise BadScript(f"{name}: {error}") from None
+    except click.ClickException as error:
+        raise BadScript(f"{name}: {error.format_message()}") from None
+    if not len(script.traffic.shares) == len(script.traffic.work) == len(facts.operations):
+        raise BadScript(f"{name}: traffic.shares and traffic.work need one entry for each operation")
+    for trouble in script.troubles:
+        if trouble.at >= script.seconds:
+            raise BadScript(f"{name}: a trouble at {trouble.at} s begins after the day's end")
+        if isinstance(trouble, Cut) and trouble.zone not in facts.zones:
+            raise BadScript(f"{name}: cut: zone {trouble.zone!r} is none of {', '.join(facts.zones)}")
+    return script
--- /dev/null
+++ b/driftshed/day/stage.py
@@ -0,0 +1,379 @@
+"""The stage of a day: starts the supervisor as a process, the stand-ins, the relays and the recorder, and brings the
+script's troubles about."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from driftshed.core.messages import ListedServer
+from driftshed.day import script as says
+from driftshed.day.recorder import ASK, CONTROL, ROSTER, WORK, Recorder
+from driftshed.day.relay import Relay
+from driftshed.day.tamper import Tamper
+from driftshed.net.http import HttpClient
+from driftshed.net.loop import Loop
+from driftshed.standins.client import ClientStandin
+from driftshed.standins.proxy import ProxyStandin
+from driftshed.standins.roster import RosterStandin
+from driftshed.standins.server import ServerStandin
+
+SETTLE = 2.5  # seconds after the last arrival, for what is under way
+WORK_PORT, ASK_PORT, CONTROL_PORT, ROSTER_PORT = 8000, 9000, 7000, 7001
+
+
+class Cast:
+    """Who is on stage: the addresses that the script and a seed give to the parts. Judge and stage both use it."""
+
+    def __init__(self, script: says.Script, net: int) -> None:
+        self.script, self.net, self.facts = script, net, script.facts
+        self.zones = self.facts.zones
+
+    def server(self, number: int) -> str:
+        """Successors' numbers go on behind those of the first fleet."""
+        return f"127.{self.net}.{1 + number % len(self.zones)}.{1 + number // len(self.zones)}:{WORK_PORT}"
+
+    def zone_of_server(self, number: int) -> int:
+        return number % len(self.zones)
+
+    def kind_of_server(self, number: int) -> int:
+        return number // len(self.zones) % len(self.facts.kinds)
+
+    def number_of_server(self, name: str) -> int:
+        _, _, zone, place = name.partition(":")[0].split(".")
+        return (int(place) - 1) * len(self.zones) + int(zone) - 1
+
+    def proxy_host(self, number: int) -> str:
+        zone, place = number % len(self.zones), number // len(self.zones)
+        return f"127.{self.net}.{100 + zone + 10 * (place // 250)}.{1 + place % 250}"
+
+    def number_of_proxy(self, host: str) -> int:
+        _, _, zone, place = host.split(".")
+        tens, zone = divmod(int(zone) - 100, 10)
+        return (250 * tens + int(place) - 1) * len(self.zones) + zone
+
+    def zone_of_proxy(self, number: int) -> str:
+        return self.zones[number % len(self.zones)]
+
+
+def free_net(first: int) -> tuple[int, socket.socket]:
+    """A part of 127.0.0.0/8 that no other day uses, and the socket that keeps it ours."""
+    for k in range(200):
+        net = 10 + (first + k) % 200
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{net}.0.1", 6999))
+        except OSError:
+            lock.close()
+            continue
+        return net, lock
+    raise OSError("no free part of 127.0.0.0/8: too many days at once")
+
+
+class SupervisorProcess:
+    """`driftshed supervise` as a process of its own, at an address that it keeps when it is started anew."""
+
+    def __init__(self, script: says.Script, host: str, logs: Path) -> None:
+        self.script, self.host, self.logs = script, host, logs
+        self.port, self.process, self.seed = 7100, None, 0
+
+    def start(self, seed: int) -> None:
+        self.seed = seed
+        command = [sys.executable, "-m", "driftshed.cli", "supervise", "--listen", f"{self.host}:{self.port}"]
+        command += ["--seed", str(seed), "--silence", "2", "--log-level", "debug"]
+        for text in self.script.operations:
+            command += ["--operation", text]
+        for name, value in self.script.flags.items():
+            command += [f"--{name}", str(value)]
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("DRIFTSHED_")}
+        with self.logs.open("ab") as log:
+            self.process = subprocess.Popen(
+                command, stdout=subprocess.PIPE, stderr=log, stdin=subprocess.DEVNULL, env=environment
+            )
+
+    def await_listening(self) -> None:
+        line = self.process.stdout.readline().decode()
+        if not line.startswith("listening"):
+            raise RuntimeError(f"the supervisor did not start: {self.logs.read_text()[-2000:]}")
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        if self.process is not None:
+            try:
+                self.process.wait(5)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+            self.process.stdout.close()
+
+
+class Stage:
+    """Plays one day; `events` says what was done when, for whoever reads the verdict."""
+
+    def __init__(self, script: says.Script, seed: int, folder: Path, tamper: str | None = None) -> None:
+        self.script, self.seed, self.facts = script, seed, script.facts
+        self.random = Random(f"day {seed}")
+        self.net, self.lock = free_net(os.getpid())
+        self.cast = Cast(script, self.net)
+        self.loop = Loop()
+        self.record = folder / "record"
+        self.recorder = Recorder(self.loop, self.record)
+        self.events: list[dict] = []
+        self.cold: set[str] = set()
+        host = f"127.{self.net}.0"
+        self.supervisor = SupervisorProcess(script, f"{host}.9", folder / "supervisor.log")
+        target = (f"{host}.9", 7100)
+        self.control = Relay(self.loop, self.recorder, CONTROL, (f"{host}.2", CONTROL_PORT), target)
+        self.roster_relay = Relay(self.loop, self.recorder, ROSTER, (f"{host}.3", ROSTER_PORT), target)
+        if tamper:
+            self.control.tamper = Tamper(tamper, self.facts.message_cap, self.cold)
+        self.servers: dict[int, ServerStandin] = {}
+        self.gone: set[int] = set()
+        self.successors = script.fleet.servers
+        self.proxies: list[ProxyStandin] = []
+        self.clients: list[ClientStandin] = []
+
+    def _note(self, what: str, **more: object) -> None:
+        self.events.append({"at": round(self.loop.clock() - self.recorder.began, 2), "what": what, **more})
+
+    def _listed(self, number: int, state: str = "ready") -> ListedServer:
+        facts = self.facts
+        started = RosterStandin.unix(self.servers[number].started)
+        return ListedServer(self.cast.server(number), facts.zones[self.cast.zone_of_server(number)],
+                            facts.kinds[self.cast.kind_of_server(number)], state, started)  # fmt: skip
+
+    def _new_server(self, number: int, cold: bool) -> None:
+        host, _, port = self.cast.server(number).rpartition(":")
+        address = (host, int(port))
+        machine = self.script.machine(self.cast.kind_of_server(number))
+        tap = self.recorder.accepted(WORK, address)
+        self.servers[number] = ServerStandin(self.loop, address, machine, self.random.getrandbits(32), tap)
+        self.servers[number].start(cold)
+
+    def play(self) -> None:
+        try:
+            self._open()
+            self.loop.run(self.recorder.began + self.script.seconds)
+            for client in self.clients:
+                client.open = False
+            self.loop.run(self.loop.clock() + SETTLE)
+        finally:
+            self._close()
+
+    def _open(self) -> None:
+        script, facts, fleet = self.script, self.facts, self.script.fleet
+        self.supervisor.start(self.random.getrandbits(32))
+        self.supervisor.await_listening()
+        self.recorder.begin()
+        for number in range(fleet.servers):
+            self._new_server(number, cold=False)
+        feeder = HttpClient(self.loop, self.roster_relay.address)
+        self.roster = RosterStandin(self.loop, feeder, fleet.roster_lag)
+        self.roster.begin([self._listed(number) for number in range(fleet.servers)])
+        rates = [script.traffic.uneven ** self.random.random() for _ in range(facts.proxies)]
+        rates = [rate / sum(rates) * script.traffic.rate for rate in rates]
+        for number, rate in enumerate(rates):
+            zone = number % len(facts.zones)
+            everywhere = list(range(fleet.servers))
+            near = [n for n in everywhere if self.cast.zone_of_server(n) == zone] or everywhere
+            standing = self.random.sample(near, min(len(near), max(1, facts.standing_lines)))
+            address = (self.cast.proxy_host(number), ASK_PORT)
+            self.proxies.append(
+                ProxyStandin(
+                    self.loop, number, facts.zones[zone], rate, address, self.control.address, facts,
+                    [self.cast.server(n) for n in standing], self.random.getrandbits(32),
+                    self.recorder.accepted(ASK, address),
+                )  # fmt: skip
+            )
+            self.clients.append(
+                ClientStandin(
+                    self.loop, address, facts.operations, script.traffic.shares, script.traffic.work, rate,
+                    self.random.getrandbits(32), script.traffic.repeats,
+                )  # fmt: skip
+            )
+        for trouble in script.troubles:
+            act = getattr(self, f"_begin_{type(trouble).__name__.lower()}")
+            self._at(trouble.at, lambda act=act, trouble=trouble: act(trouble))
+
+    def _at(self, seconds: float, call: Callable[[], object]) -> None:
+        self.loop.at(self.recorder.began + seconds, call)
+
+    def _close(self) -> None:
+        self.supervisor.end()
+        for proxy in self.proxies:
+            proxy.http.close()
+        for server in self.servers.values():
+            server.stop()
+        self.control.close()
+        self.roster_relay.close()
+        self.recorder.close()
+        self.loop.close()
+        self.lock.close()
+
+    # ---- troubles ---------------------------------------------------------------------------------------------
+
+    def _some(self, count: int) -> list[int]:
+        """Servers that are well, drawn by chance."""
+        well = [n for n, server in self.servers.items()
+                if n not in self.gone and server.http and not server.hangs and not server.error_share
+                and server.slower == 1.0]  # fmt: skip
+        return sorted(self.random.sample(well, min(count, len(well))))
+
+    def _begin_deploy(self, trouble: says.Deploy) -> None:
+        self.left_to_deploy = [n for n in self.servers if n not in self.gone]
+        for k in range(trouble.servers):
+            self.loop.after(k * trouble.every, lambda: self._deploy_one(trouble))
+
+    def _deploy_one(self, trouble: says.Deploy) -> None:
+        if not self.left_to_deploy:
+            return
+        number = self.left_to_deploy.pop(0)
+        self.gone.add(number)
+        self._note("drains", server=self.cast.server(number))
+        self.roster.change(self._listed(number, "draining"))
+
+        def die() -> None:
+            self._note("dies", server=self.cast.server(number))
+            self.servers[number].stop()
+            self.roster.change(self._listed(number, "gone"))
+            self.loop.after(trouble.down, succeed)
+
+        def succeed() -> None:
+            successor, self.successors = self.successors, self.successors + 1
+            # In the zone of the one that it follows.
+            while self.cast.zone_of_server(successor) != self.cast.zone_of_server(number):
+                successor, self.successors = self.successors, self.successors + 1
+            self._begin_cold(successor)
+
+        self.loop.after(trouble.drain, die)
+
+    def _begin_cold(self, number: int) -> None:
+        if number in self.servers:
+            self.servers[number].start()
+        else:
+            self._new_server(number, cold=True)
+        self.cold.add(self.cast.server(number))
+        self._note("starts", server=self.cast.server(number))
+        self.roster.change(self._listed(number))
+
+    def _begin_restart(self, trouble: says.Restart) -> None:
+        for number in self._some(trouble.servers):
+            self._note("dies", server=self.cast.server(number))
+            self.servers[number].stop()
+            self.roster.change(self._listed(number, "gone"))
+            self.loop.after(trouble.down, lambda number=number: self._begin_cold(number))
+
+    def _begin_sick(self, trouble: says.Sick) -> None:
+        numbers = self._some(trouble.servers)
+        for number in numbers:
+            server = self.servers[number]
+            self._note(trouble.how, server=self.cast.server(number))
+            if trouble.how == "hang":
+                server.hangs = True
+            elif trouble.how == "errors":
+                server.error_share = trouble.size
+            else:
+                server.slower = trouble.size
+
+        def well() -> None:
+            for number in numbers:
+                self._note("well", server=self.cast.server(number))
+                self.servers[number].error_share, self.servers[number].slower = 0.0, 1.0
+                self.servers[number].resume()
+
+        self.loop.after(trouble.lasts, well)
+
+    def _begin_lateroster(self, trouble: says.LateRoster) -> None:
+        self._note("roster late", by=trouble.by)
+        self.roster.lag += trouble.by
+
+        def over() -> None:
+            self.roster.lag -= trouble.by
+
+        self.loop.after(trouble.lasts, over)
+
+    def _begin_cut(self, trouble: says.Cut) -> None:
+        self._note("zone cut off", zone=trouble.zone, way=trouble.what)
+        zone = self.facts.zones.index(trouble.zone)
+        hosts = {self.cast.proxy_host(n) for n in range(len(self.proxies)) if n % len(self.facts.zones) == zone}
+        if trouble.what != "servers":
+            self.control.blocked_hosts |= hosts
+        if trouble.what != "supervisor":
+            for number, server in self.servers.items():
+                if self.cast.zone_of_server(number) != zone:
+                    server.unreachable |= hosts
+
+        def over() -> None:
+            self._note("zone back", zone=trouble.zone)
+            self.control.blocked_hosts -= hosts
+            for server in self.servers.values():
+                server.unreachable -= hosts
+
+        self.loop.after(trouble.lasts, over)
+
+    def _begin_kill(self, trouble: says.Kill) -> None:
+        self._note("supervisor killed")
+        self.supervisor.signal(signal.SIGKILL)
+
+        def anew() -> None:
+            self._note("supervisor started anew")
+            self.supervisor.process.wait()
+            self.supervisor.process.stdout.close()
+            self.supervisor.start(self.random.getrandbits(32))
+
+        self.loop.after(trouble.down, anew)
+
+    def _begin_pause(self, trouble: says.Pause) -> None:
+        self._note("supervisor stopped")
+        self.supervisor.signal(signal.SIGSTOP)
+
+        def over() -> None:
+            self._note("supervisor goes on")
+            self.supervisor.signal(signal.SIGCONT)
+
+        self.loop.after(trouble.lasts, over)
+
+    def _begin_breakstreams(self, trouble: says.BreakStreams) -> None:
+        count = max(1, round(trouble.share * len(self.proxies)))
+        hosts = {self.cast.proxy_host(n) for n in self.random.sample(range(len(self.proxies)), count)}
+        self._note("streams break halfway through a delta", proxies=count)
+        self.control.break_hosts |= hosts
+
+        def over() -> None:
+            self._note("streams broken so", proxies=len(self.control.broken))
+            self.control.break_hosts -= hosts
+
+        self.loop.after(trouble.lasts, over)
+
+    def _begin_dropstreams(self, trouble: says.DropStreams) -> None:
+        self._note("every stream is reset")
+        self.control.reset_all()
+
+    def _begin_surge(self, trouble: says.Surge) -> None:
+        self._note("surge", times=trouble.times)
+        for client in self.clients:
+            client.surge *= trouble.times
+
+        def over() -> None:
+            for client in self.clients:
+                client.surge /= trouble.times
+
+        self.loop.after(trouble.lasts, over)
+
+
+def play(script: says.Script, seed: int, folder: Path, tamper: str | None = None) -> Stage:
+    """Plays a day; what passed is in the stage's `record`."""
+    stage = Stage(script, seed, folder, tamper)
+    stage.play()
+    return stage
