--- a/driftshed/core/hub.py
+++ b/driftshed/core/hub.py
@@ -46,7 +46,7 @@
     `ack`; `released` names the proxies that have something new."""
 
     def __init__(self, facts: face.StartFacts, run: str) -> None:
-        self.run, self.operations, self.tries = run, len(facts.operations), facts.default_tries
+        self.run, self.operations, self.tries = run, len(facts.operations), facts.default_tries or face.NO_TRY
         self.head = facts.lines_per_message
         self.channel = Channel(facts.lines_per_second)
         self.most_records = KEPT_STRANGERS * max(64, facts.proxies)
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,183 @@
+"""The loop and HTTP over real sockets: bounds, order, time-outs. Tests poll for a condition under a generous bound."""
+
+import socket
+import time
+
+import pytest
+
+from driftshed.net.http import Bounds, HttpClient, HttpServer
+from driftshed.net.loop import DEAD_TIMERS, Loop
+
+BOUND = 10.0  # seconds: a condition that has not come by then fails the test
+
+
+def until(loop: Loop, condition, bound: float = BOUND) -> None:
+    end = time.monotonic() + bound
+    while not condition():
+        assert time.monotonic() < end, "the condition did not come"
+        loop.after(0.01, lambda: None)
+        loop.turn(end)
+
+
+class Raw:
+    """A peer of bare bytes."""
+
+    def __init__(self, loop: Loop, address) -> None:
+        self.loop, self.sock, self.got, self.ended = loop, socket.create_connection(address), b"", False
+        self.sock.setblocking(False)
+
+    def read(self) -> bytes:
+        try:
+            while data := self.sock.recv(65536):
+                self.got += data
+            self.ended = True
+        except BlockingIOError:
+            pass
+        except ConnectionError:
+            self.ended = True
+        return self.got
+
+
+@pytest.fixture
+def loop():
+    loop = Loop()
+    yield loop
+    loop.close()
+
+
+def serve(loop, handle=lambda request: request.answer(200, request.body or request.path.encode()), **bounds):
+    return HttpServer(loop, ("127.0.0.1", 0), handle, Bounds(**bounds))
+
+
+def test_timers_come_in_order_and_cancelled_ones_do_not_come(loop):
+    came = []
+    for k in (3, 1, 2):
+        loop.after(k / 100, lambda k=k: came.append(k))
+    loop.after(0.015, lambda: came.append("cancelled")).cancel()
+    until(loop, lambda: len(came) >= 3)
+    assert came == [1, 2, 3]
+
+
+def test_cancelled_timers_do_not_pile_up(loop):
+    for _ in range(50 * DEAD_TIMERS):
+        loop.after(1000, lambda: None).cancel()
+    assert len(loop.timers) <= 2 * DEAD_TIMERS + 1
+
+
+def test_a_callback_that_raises_is_told_and_the_loop_goes_on(loop):
+    errors, came = [], []
+    loop.on_error = errors.append
+    loop.after(0, lambda: 1 / 0)
+    loop.after(0.01, lambda: came.append(1))
+    until(loop, lambda: came)
+    assert isinstance(errors[0], ZeroDivisionError)
+
+
+def test_pipelined_requests_are_answered_in_order_though_the_first_takes_longest(loop):
+    waiting = []
+    server = serve(loop, waiting.append)
+    raw = Raw(loop, server.address)
+    raw.sock.sendall(b"".join(b"GET /p%d HTTP/1.1\r\n\r\n" % k for k in range(3)))
+    until(loop, lambda: waiting)
+    loop.after(0.05, lambda: None)
+    loop.turn()
+    assert [request.path for request in waiting] == ["/p0"]  # one at a time
+    for k in range(3):
+        until(loop, lambda k=k: len(waiting) > k)
+        waiting[k].answer(200, waiting[k].path.encode())
+    until(loop, lambda: b"/p2" in raw.read())
+    assert raw.got.index(b"/p0") < raw.got.index(b"/p1") < raw.got.index(b"/p2")
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nx: " + b"y" * 5000, b"431"),
+        (b"POST / HTTP/1.1\r\ncontent-length: 5000\r\n\r\n", b"413"),
+        (b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1388\r\n" + b"z" * 5000, b"413"),
+        (b"POST / HTTP/1.1\r\ncontent-length: 10\r\n\r\ncut", b"408"),
+        (b"GET / HT", b"408"),
+    ],
+)
+def test_what_cannot_be_read_is_refused_and_disturbs_nobody(loop, sent, status):
+    server = serve(loop, header_bytes=1000, body_bytes=1000, head_within=0.2)
+    raw, other = Raw(loop, server.address), Raw(loop, server.address)
+    raw.sock.sendall(sent)
+    until(loop, lambda: raw.read() and raw.ended)
+    assert raw.got.startswith(b"HTTP/1.1 " + status)
+    other.sock.sendall(b"GET /well HTTP/1.1\r\n\r\n")
+    until(loop, lambda: b"/well" in other.read())
+
+
+def test_a_peer_that_does_not_read_is_dropped_not_buffered(loop):
+    server = serve(loop, lambda request: request.answer(200, b"x" * 200_000), out_bytes=300_000)
+    raw = Raw(loop, server.address)
+    ended = []
+    server.on_connection_end = lambda connection, reason: ended.append(reason)
+    raw.sock.setblocking(True)
+
+    def ask() -> None:
+        if not ended:
+            raw.sock.send(b"GET / HTTP/1.1\r\n\r\n" * 4)
+            loop.after(0.005, ask)
+
+    ask()
+    until(loop, lambda: ended)
+    assert ended == ["stuck"]
+
+
+def test_connections_over_the_cap_are_told_so(loop):
+    server = serve(loop, connections=2)
+    held = [Raw(loop, server.address) for _ in range(2)]
+    until(loop, lambda: len(server.connections) == 2)
+    third = Raw(loop, server.address)
+    until(loop, lambda: third.read() and third.ended)
+    assert third.got.startswith(b"HTTP/1.1 503") and b"retry-after" in third.got
+    held[0].sock.close()
+    until(loop, lambda: len(server.connections) == 1)
+    fourth = Raw(loop, server.address)
+    fourth.sock.sendall(b"GET /in HTTP/1.1\r\n\r\n")
+    until(loop, lambda: b"/in" in fourth.read())
+
+
+def test_idle_connections_end_and_a_request_learns_that_its_peer_is_gone(loop):
+    gone, asked = [], []
+
+    def handle(request) -> None:
+        asked.append(request)
+        request.on_gone = lambda: gone.append(request)
+
+    server = serve(loop, handle, idle_for=0.2)
+    idle, leaver = Raw(loop, server.address), Raw(loop, server.address)
+    leaver.sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    until(loop, lambda: asked)
+    leaver.sock.close()
+    until(loop, lambda: gone)
+    asked[0].answer(200, b"too late")  # nothing happens
+    until(loop, lambda: idle.read() == b"" and idle.ended)
+
+
+def test_a_client_tells_never_sent_from_perhaps_sent(loop):
+    answers = {}
+    server = serve(loop, lambda request: request.connection.stream.abort("reset", hard=True))
+    silent = serve(loop, lambda request: None)
+    free = socket.socket()
+    free.bind(("127.0.0.1", 0))
+    for name, address in (("refused", free.getsockname()), ("reset", server.address), ("late", silent.address)):
+        client = HttpClient(loop, address)
+        client.call("POST", "/", b"{}", lambda answer, name=name: answers.update({name: answer}), 0.3)
+    until(loop, lambda: len(answers) == 3)
+    free.close()
+    assert {name: (answer.error, answer.sent) for name, answer in answers.items()} == {
+        "refused": ("refused", False), "reset": ("reset", True), "late": ("late", True),
+    }  # fmt: skip
+
+
+def test_a_client_keeps_its_connection(loop):
+    server, answers = serve(loop), []
+    client = HttpClient(loop, server.address)
+    for k in range(5):
+        client.call("GET", f"/{k}", b"", answers.append, 5.0)
+        until(loop, lambda k=k: len(answers) > k)
+    assert [answer.body for answer in answers] == [b"/%d" % k for k in range(5)] and len(server.connections) == 1
