Tests of the API over sockets, and benchmarks of the supervisor at 118 servers and 349 proxies

Need: bad input must get a 4xx and disturb nobody; size must be measured. 42 tests of the API on real sockets: joins, resumes by version after every kind of end, replaced streams, malformed calls, flags and the process. benchmarks/ drives a supervisor process at size; what an order took is set beside the soonest that the channel's pace allows.

--- /dev/null
+++ b/benchmarks/hosted.py
@@ -0,0 +1,72 @@
+"""A supervisor as `driftshed supervise` runs it, with a histogram of how long orders took: for `scale.py` alone.
+
+    python benchmarks/hosted.py PORT SERVERS PROXIES LINES_PER_SECOND [plain]
+
+`plain` puts a stand-in in the module's place that puts every proxy on one table and changes a line when the roster
+does: the program's own cost. On SIGTERM one JSON object goes to standard output."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+import time
+
+from hdrh.histogram import HdrHistogram
+
+from driftshed import interface as face
+from driftshed.brain import Brain
+from driftshed.core.instance import Instance
+from driftshed.net.http import Bounds
+from driftshed.net.loop import Loop
+from driftshed.supervisor.flags import FLAGS, read_operation, start_facts
+from driftshed.supervisor.service import Service
+
+
+class Plain:
+    """One table, every proxy on it, and a line for each listed server."""
+
+    def __init__(self, facts, seed, now) -> None:
+        self.marks = 0
+
+    def handle(self, now, events) -> list:
+        orders = []
+        for event in events:
+            if isinstance(event, face.Listing):
+                orders += [face.SetLine(e.server, 1.0 if e.state == face.READY else 0.0, 0) for e in event.entries]
+            elif isinstance(event, face.Joined):
+                orders.append(face.UseTable(0, 0, event.proxy))
+        self.marks += bool(orders)
+        return [*orders, face.Mark(False, self.marks)] if orders else []
+
+
+def main() -> None:
+    port, servers, proxies, pace = (int(each) for each in sys.argv[1:5])
+    given = {flag.fact: flag.kind.convert(flag.default, None, None) for flag in FLAGS}
+    given |= {"proxies": proxies, "lines_per_second": float(pace), "queue_cap": 2.0 * pace, "report_period": 1.0,
+              "least_connections": 130.0, "listed_weights": "rough"}  # fmt: skip
+    given["operations"] = tuple(read_operation(f"{name}:objective=0.8,timeout=2,value={value},effect=idempotent")
+                                for name, value in (("status", 1), ("history", 2), ("credit", 3)))  # fmt: skip
+    loop = Loop()
+    brain = Plain if "plain" in sys.argv else Brain
+    instance = Instance(start_facts(given), 1, f"run{os.getpid()}", loop.clock(), time.monotonic() - time.time(), brain)
+    whole, own = HdrHistogram(1, 600_000_000, 3), HdrHistogram(1, 600_000_000, 3)
+
+    def applied(message, now) -> None:
+        whole.record_value(max(1, round((now - message.ordered_at) * 1e6)))
+        own.record_value(max(1, round((now - message.due_at) * 1e6)))
+
+    service = Service(loop, instance, ("127.0.0.1", port), lambda *_, **__: None, 60.0, 30.0, Bounds(connections=30000))
+    instance.hub.on_applied = applied
+    loop.on_signals((signal.SIGTERM,), lambda number: service.stop())
+    print("listening", flush=True)
+    loop.run()
+    figures = {name: {"count": h.get_total_count(), "p50_ms": h.get_value_at_percentile(50) / 1000,
+                      "p99_ms": h.get_value_at_percentile(99) / 1000, "most_ms": h.get_max_value() / 1000}
+               for name, h in (("whole", whole), ("own", own))}  # fmt: skip
+    print(json.dumps({**figures, "most_waiting": instance.hub.channel.most_waiting, "cpu": time.process_time()}))
+
+
+if __name__ == "__main__":
+    main()
--- a/driftshed/core/channel.py
+++ b/driftshed/core/channel.py
@@ -10,7 +10,8 @@
 class Message:
     """What one reply of the module says to one proxy. `cost`: its lines, its head and its mark."""
 
-    __slots__ = ("proxy", "stream", "changes", "body", "cost", "mark", "ordered_at", "released_at", "version")
+    __slots__ = ("proxy", "stream", "changes", "body", "cost", "mark", "ordered_at", "due_at", "released_at",
+                 "version")  # fmt: skip
 
     def __init__(
         self, proxy: int, stream: str, changes: tuple[Change, ...], body: bytes, cost: float, mark: int | None,
@@ -18,7 +19,8 @@
     ) -> None:  # fmt: skip
         self.proxy, self.stream, self.changes, self.body = proxy, stream, changes, body
         self.cost, self.mark, self.ordered_at = cost, mark, ordered_at
-        self.released_at, self.version = 0.0, 0
+        self.due_at = self.released_at = 0.0  # the soonest that the pace allows, and what it came to
+        self.version = 0
 
 
 class Channel:
@@ -38,6 +40,7 @@
         self.queue.append(message)
         self.waiting += message.cost
         self.most_waiting = max(self.most_waiting, self.waiting)
+        message.due_at = self.began + self.waiting / self.pace
 
     def next_at(self) -> float | None:
         """When the next message has left; None while nothing waits."""
--- a/driftshed/core/hub.py
+++ b/driftshed/core/hub.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from driftshed import interface as face
 from driftshed.core.channel import Channel, Message
@@ -33,7 +34,7 @@
         self.held: dict[tuple, Change] = {}
         self.log: deque[Message] = deque()
         self.first = self.version = self.acked = 0  # the log begins behind `first`
-        self.marks: deque[tuple[int, int, float]] = deque()  # version, mark, when ordered
+        self.marks: deque[Message] = deque()  # released with a mark that is not answered yet
         # Up to this version nothing is told: it is what came to nothing with the last stream.
         self.silent_to = 0
         self.pending: list[Message] = []  # in the channel
@@ -53,6 +54,7 @@
         self.records: dict[int, Record] = {}
         self.streams = 0
         self.messages_sent = 0
+        self.on_applied: Callable[[Message, float], object] | None = None  # for measurements
         self._forget_orders()
 
     def _forget_orders(self) -> None:
@@ -130,9 +132,11 @@
             raise Refused(409, f"version {version} was never sent; the newest is {record.version}")
         record.acked = version
         applied = []
-        while record.marks and record.marks[0][0] <= version:
-            _, mark, ordered_at = record.marks.popleft()
-            applied.append(face.Applied(mark, record.proxy, now - ordered_at))
+        while record.marks and record.marks[0].version <= version:
+            message = record.marks.popleft()
+            applied.append(face.Applied(message.mark, record.proxy, now - message.ordered_at))
+            if self.on_applied:
+                self.on_applied(message, now)
         return applied
 
     # ---- orders -----------------------------------------------------------------------------------------------
@@ -266,7 +270,7 @@
             if len(record.log) > KEPT_MESSAGES:
                 record.first = record.log.popleft().version
             if message.mark is not None:
-                record.marks.append((record.version, message.mark, message.ordered_at))
+                record.marks.append(message)
             new[message.proxy] = record
             self.messages_sent += 1
         return list(new.values())
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -26,7 +26,7 @@
 from driftshed.core.sums import Sums
 from tests.helpers import World, server
 
-FACTS = World().facts
+FACTS = World().facts._replace(kinds=("standard",))
 NEWS = msgspec.json.Decoder(Changes)
 
 
@@ -254,14 +254,7 @@
 
 
 def make_instance(**more) -> Instance:
-    facts = FACTS._replace(zones=("east", "west"), kinds=FACTS.kinds or ("standard",))
-    return Instance(facts, 7, "run", 0.0, **more)
-
-
-@pytest.fixture(autouse=True, scope="module")
-def kinds():
-    global FACTS
-    FACTS = FACTS._replace(kinds=("standard",))
+    return Instance(FACTS, 7, "run", 0.0, **more)
 
 
 def test_roster_news_that_does_not_follow_or_names_the_unknown_changes_nothing():
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,289 @@
+"""The supervisor's API over real sockets, in process and as a process of its own."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import msgspec
+import pytest
+
+from driftshed.cli import main
+from driftshed.core.instance import Instance
+from driftshed.core.messages import Changes, Line
+from driftshed.net.http import Bounds, HttpClient
+from driftshed.net.loop import Loop
+from driftshed.supervisor.flags import read_operation
+from driftshed.supervisor.service import Service
+from tests.test_core import FACTS, news
+from tests.test_net import Raw, until
+
+NEWS = msgspec.json.Decoder(Changes)
+OPERATION = "look:objective=0.5,timeout=1.5,value=1,effect=idempotent"
+
+
+class Rig:
+    """A service and the calls of its peers."""
+
+    def __init__(self, **more) -> None:
+        self.loop, self.logged = Loop(), []
+        self.instance = Instance(FACTS._replace(lines_per_second=20000.0), 7, "run", self.loop.clock())
+        self.service = Service(self.loop, self.instance, ("127.0.0.1", 0), self._log, **more)
+        self.client = HttpClient(self.loop, self.service.address)
+
+    def _log(self, event: str, **fields) -> None:
+        self.logged.append((event, fields))
+
+    def send(self, method: str, path: str, body=None, client=None, kind: str = "application/json") -> list:
+        """The list that the answer will be put in."""
+        answers: list = []
+        data = body if isinstance(body, bytes) else b"" if body is None else msgspec.json.encode(body)
+        (client or self.client).call(method, path, data, answers.append, 10.0, kind=kind)
+        return answers
+
+    def call(self, *args, **more):
+        answers = self.send(*args, **more)
+        until(self.loop, lambda: answers)
+        return answers[0].status, msgspec.json.decode(answers[0].body)
+
+    def roster(self, version: int, whole: bool, *numbers: int, **more) -> None:
+        assert self.call("POST", "/v1/roster", news(version, whole, *numbers, **more))[0] == 200
+
+    def join(self, number: int = 3, zone: str = "east", **more):
+        """A stream on a connection of its own, and the join's answer."""
+        client = HttpClient(self.loop, self.service.address)
+        status, answer = self.call(
+            "POST", f"/v1/proxies/{number}/join", {"zone": zone, "rate": 5.0, **more}, client=client
+        )
+        assert status == 200
+        return client, answer
+
+    def poll(self, client, stream: str, after: int, number: int = 3, wait: float = 5.0) -> list:
+        path = f"/v1/proxies/{number}/changes?stream={stream}&after={after}&wait={wait}"
+        return self.send("GET", path, client=client)
+
+    def close(self) -> None:
+        self.service.http.close()
+        self.loop.close()
+
+
+@pytest.fixture
+def rig():
+    rig = Rig()
+    yield rig
+    rig.close()
+
+
+def test_a_proxy_joins_polls_and_is_sent_first_the_whole_then_changes(rig):
+    rig.roster(1, True, 1, 2, 3, 4)
+    client, joined = rig.join()
+    first = rig.poll(client, joined["stream"], joined["version"])
+    until(rig.loop, lambda: first)
+    told = NEWS.decode(first[0].body)
+    assert told.whole and sum(isinstance(change, Line) for change in told.changes) == 4
+    second = rig.poll(client, joined["stream"], told.version)
+    rig.roster(2, False, 2, state="draining")
+    until(rig.loop, lambda: second)
+    change = NEWS.decode(second[0].body)
+    assert (change.since, change.whole) == (told.version, False)
+    assert change.changes == [Line(0, "10.0.0.2:80", 0.0)]
+    servers = {row["server"]: row for row in rig.call("GET", "/v1/servers")[1]}
+    assert servers["10.0.0.2:80"]["why"] == "listed as draining" and not servers["10.0.0.2:80"]["lines"]
+    assert rig.call("GET", "/v1/tables")[1]["proxies"] == {"0": [3]}
+
+
+def test_a_poll_without_news_is_held_and_answered_empty(rig):
+    client, joined = rig.join()
+    began = time.monotonic()
+    answers = rig.poll(client, joined["stream"], 0, wait=0.2)
+    until(rig.loop, lambda: answers)
+    assert NEWS.decode(answers[0].body).changes == [] and time.monotonic() - began >= 0.2
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "kind", "status"),
+    [
+        ("GET", "/v1/nothing", None, "", 404),
+        ("PUT", "/v1/tables", b"", "", 405),
+        ("DELETE", "/v1/proxies/3/join", None, "", 405),
+        ("GET", "/v1/proxies/99999999/changes?stream=x&after=0", None, "", 400),
+        ("GET", "/v1/proxies/-1/changes?stream=x&after=0", None, "", 400),
+        ("GET", "/v1/proxies/9/changes?stream=x&after=0", None, "", 404),
+        ("GET", "/v1/proxies/3/changes?stream=other&after=0", None, "", 409),
+        ("GET", "/v1/proxies/3/changes?stream=STREAM&after=99", None, "", 409),
+        ("GET", "/v1/proxies/3/changes?stream=STREAM&after=x", None, "", 400),
+        ("GET", "/v1/proxies/3/changes?stream=STREAM&after=0&wait=nan", None, "", 400),
+        ("POST", "/v1/proxies/4/join", b"{", "application/json", 400),
+        ("POST", "/v1/proxies/4/join", b'{"zone":"moon","rate":1}', "application/json", 400),
+        ("POST", "/v1/proxies/4/join", b'{"zone":"east","rate":-1}', "application/json", 400),
+        ("POST", "/v1/proxies/4/join", b'{"zone":"east","rate":1,"odd":1}', "application/json", 400),
+        ("POST", "/v1/proxies/4/join", b'{"zone":"east","rate":1,"run":"run","version":7}', "application/json", 409),
+        ("POST", "/v1/proxies/4/join", b'{"zone":"east","rate":1}', "text/plain", 415),
+        ("POST", "/v1/proxies/3/report", b'{"stream":"other"}', "application/json", 409),
+        ("POST", "/v1/proxies/3/report", b'{"stream":"STREAM","servers":[{"server":"x","tries":1}]}',
+         "application/json", 400),
+        ("POST", "/v1/proxies/3/report", b'{"stream":"STREAM","operations":[{"operation":"odd","arrived":1}]}',
+         "application/json", 400),
+        ("POST", "/v1/roster", b'{"version":9,"whole":false,"servers":[]}', "application/json", 409),
+        ("POST", "/v1/roster", b"x" * 60000, "application/json", 413),
+    ],
+)  # fmt: skip
+def test_bad_input_gets_a_4xx_with_a_plain_reason_and_nothing_is_disturbed(method, path, body, kind, status):
+    rig = Rig(bounds=Bounds(body_bytes=50000))
+    rig.roster(1, True, 1, 2, 3)
+    client, joined = rig.join()
+    first = rig.poll(client, joined["stream"], 0)
+    until(rig.loop, lambda: first)
+    version = NEWS.decode(first[0].body).version
+    held = rig.poll(client, joined["stream"], version)
+    path = path.replace("STREAM", joined["stream"])
+    body = body.replace(b"STREAM", joined["stream"].encode()) if body else body
+    got, answer = rig.call(method, path, body, kind=kind)
+    assert got == status and len(answer["error"]) > 10
+    assert not held and rig.instance.hub.records[3].joined and list(rig.service.polls) == [3]
+    rig.roster(2, False, 3, state="draining")
+    until(rig.loop, lambda: held)
+    assert NEWS.decode(held[0].body).changes == [Line(0, "10.0.0.3:80", 0.0)]
+    rig.close()
+
+
+def test_a_body_cut_short_disturbs_nothing(rig):
+    raw = Raw(rig.loop, rig.service.address)
+    head = b"POST /v1/roster HTTP/1.1\r\ncontent-type: application/json\r\ncontent-length: 90\r\n\r\n"
+    raw.sock.sendall(head + b'{"ver')
+    rig.loop.turn(time.monotonic() + 0.05)
+    raw.sock.close()
+    rig.roster(1, True, 1)
+    assert rig.instance.roster.version == 1
+
+
+def left(rig, proxy: int = 3) -> bool:
+    return not rig.instance.hub.records[proxy].joined
+
+
+@pytest.mark.parametrize("how", ["ended", "reset", "silent", "leave"])
+def test_a_stream_that_ends_is_left_and_the_proxy_resumes_by_version(how):
+    rig = Rig(silence=0.3)
+    rig.roster(1, True, 1, 2, 3)
+    client, joined = rig.join()
+    first = rig.poll(client, joined["stream"], 0)
+    until(rig.loop, lambda: first)
+    version = NEWS.decode(first[0].body).version
+    if how in ("ended", "reset"):
+        rig.poll(client, joined["stream"], version)
+        rig.loop.turn(time.monotonic() + 0.05)
+        next(iter(client.all)).stream.abort("x", hard=how == "reset")
+    elif how == "leave":
+        assert rig.call("POST", f"/v1/proxies/3/leave?stream={joined['stream']}", b"")[0] == 200
+    until(rig.loop, lambda: left(rig))
+    rig.roster(2, False, 1, state="draining")
+    client, again = rig.join(run="run", version=version, fresh=False)
+    assert again["version"] == version and again["stream"] != joined["stream"]
+    answers = rig.poll(client, again["stream"], version)
+    until(rig.loop, lambda: answers)
+    delta = NEWS.decode(answers[0].body)
+    assert not delta.whole and delta.changes == [Line(0, "10.0.0.1:80", 0.0)]  # what it missed, and no more
+    rig.close()
+
+
+def test_a_second_stream_replaces_the_first_and_the_older_one_is_told(rig):
+    rig.roster(1, True, 1, 2)
+    client, joined = rig.join()
+    first = rig.poll(client, joined["stream"], 0)
+    until(rig.loop, lambda: first)
+    held = rig.poll(client, joined["stream"], NEWS.decode(first[0].body).version)
+    rig.loop.turn(time.monotonic() + 0.05)
+    _, newer = rig.join()
+    until(rig.loop, lambda: held)
+    assert held[0].status == 409 and b"replaced" in held[0].body
+    late = rig.poll(client, joined["stream"], 0)
+    until(rig.loop, lambda: late)
+    assert late[0].status == 409 and rig.instance.hub.records[3].stream == newer["stream"]
+    assert [fields["replaced"] for event, fields in rig.logged if event == "joined"] == [False, True]
+    client.close()  # the end of the older one is nothing to the newer
+    rig.loop.turn(time.monotonic() + 0.05)
+    assert not left(rig)
+
+
+def test_reports_reach_the_module_summed_by_zone(rig):
+    rig.roster(1, True, 1, 2)
+    heard = []
+    rig.instance.on_turn = lambda now, events, orders: heard.extend(events)
+    for number, zone in ((0, "east"), (1, "east"), (2, "west")):
+        _, joined = rig.join(number, zone)
+        met = {"server": "10.0.0.1:80", "tries": 4, "errored": 1, "latency": 0.2}
+        report = {"stream": joined["stream"], "servers": [met],
+                  "operations": [{"operation": rig.instance.facts.operations[0].name, "arrived": 5}]}  # fmt: skip
+        assert rig.call("POST", f"/v1/proxies/{number}/report", report)[0] == 200
+    until(rig.loop, lambda: sum(type(event).__name__ == "Heard" for event in heard) == 2)
+    sums = sorted((e.zone, e.tries, e.errored, round(e.latency, 6)) for e in heard if type(e).__name__ == "Heard")
+    assert sums == [(0, 8, 2, 0.2), (1, 4, 1, 0.2)]
+    assert sorted(e.proxy for e in heard if type(e).__name__ == "Demand") == [0, 1, 2]
+
+
+# ---- the process --------------------------------------------------------------------------------------------------
+
+
+def run(*arguments: str, env: dict | None = None):
+    return subprocess.run(
+        [sys.executable, "-m", "driftshed.cli", "supervise", *arguments],
+        capture_output=True, text=True, timeout=30, env={**os.environ, **(env or {})},
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("arguments", "said"),
+    [
+        ([], "--operation"),
+        (["--operation", "look"], "NAME:objective"),
+        (["--operation", "look:objective=1,timeout=0.5,value=1"], "timeout must be above objective"),
+        (["--operation", "look:objective=1,timeout=2,value=1,effect=odd"], "effect"),
+        (["--operation", OPERATION, "--warm-within", "-1"], "--warm-within"),
+        (["--operation", OPERATION, "--queue-cap", "5"], "--queue-cap"),
+        (["--operation", OPERATION, "--zones", "a,a"], "--zones"),
+        (["--operation", OPERATION, "--worst-transit", "0.01"], "must not be below --transit"),
+        (["--operation", OPERATION, "--listen", "0.0.0.0:7000"], "loopback alone"),
+        (["--operation", OPERATION, "--own-number", "3"], "must be below --supervisors"),
+    ],
+)
+def test_a_bad_flag_is_named_with_its_remedy(arguments, said):
+    from click.testing import CliRunner
+
+    result = CliRunner().invoke(main, ["supervise", *arguments])
+    assert result.exit_code == 2 and said in " ".join(result.output.split())
+
+
+def test_flags_come_from_the_environment_too():
+    result = run(env={"DRIFTSHED_OPERATION": f"{OPERATION};pay:objective=1,timeout=0.5,value=1"})
+    assert result.returncode == 2 and "timeout must be above objective" in " ".join(result.stderr.split())
+    assert read_operation(OPERATION).effect == "idempotent"
+
+
+def test_the_process_says_where_it_listens_and_ends_within_a_second_of_sigterm():
+    process = subprocess.Popen(
+        [sys.executable, "-m", "driftshed.cli", "supervise", "--operation", OPERATION],
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    try:
+        host, _, port = process.stdout.readline().split()[1].rpartition(":")
+        loop, answers = Loop(), []
+        client = HttpClient(loop, (host, int(port)))
+        client.call("POST", "/v1/proxies/1/join", b'{"zone":"east","rate":1}', answers.append, 5.0)
+        until(loop, lambda: answers)
+        stream = msgspec.json.decode(answers[0].body)["stream"]
+        client.call("GET", f"/v1/proxies/1/changes?stream={stream}&after=0", b"", answers.append, 9.0)
+        loop.turn(time.monotonic() + 0.2)
+        began = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        until(loop, lambda: len(answers) == 2)
+        assert answers[1].status == 503  # the poll that it owed
+        assert process.wait(10) == 0 and time.monotonic() - began < 5.0
+        events = [json.loads(line)["event"] for line in process.stderr.read().splitlines()]
+        assert events[0] == "listening" and events[-1] == "stopped" and "joined" in events
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+        process.stderr.close()
