--- a/driftshed/day/judge.py
+++ b/driftshed/day/judge.py
@@ -67,7 +67,7 @@
         self.cast = Cast(script, net)
         self.operations = {operation.name: operation for operation in self.facts.operations}
         self.verdict = Verdict()
-        self.end = max((c.now for each in kinds.values() for c in each), default=0.0)
+        self.end = max((c.now for each in kinds.values() for c in each), default=0.0) + SLACK
         self._read_control()
         self._read_roster()
         self._read_work()
--- a/driftshed/day/script.py
+++ b/driftshed/day/script.py
@@ -145,7 +145,10 @@
         for name, value in self.flags.items():
             if name not in by_name:
                 raise BadScript(f"flags: {name!r} is no flag of supervise")
-            given[by_name[name].fact] = by_name[name].kind.convert(value, None, None)
+            try:
+                given[by_name[name].fact] = by_name[name].kind.convert(value, None, None)
+            except click.BadParameter as error:
+                raise BadScript(f"flags: {name}: {error.message}") from None
         given["operations"] = tuple(read_operation(text) for text in self.operations)
         return start_facts(given)
 
@@ -177,6 +180,8 @@
         raise BadScript(f"{name}: {error}") from None
     except click.ClickException as error:
         raise BadScript(f"{name}: {error.format_message()}") from None
+    except BadScript as error:
+        raise BadScript(f"{name}: {error}") from None
     if not len(script.traffic.shares) == len(script.traffic.work) == len(facts.operations):
         raise BadScript(f"{name}: traffic.shares and traffic.work need one entry for each operation")
     for trouble in script.troubles:
