--- a/driftshed/core/channel.py
+++ b/driftshed/core/channel.py
@@ -59,9 +59,5 @@
 
     def drop(self, proxy: int | None) -> None:
         """Takes back what waits for a proxy, or for all."""
-        first = self.queue[0] if self.queue else None
         self.queue = deque(m for m in self.queue if proxy is not None and m.proxy != proxy)
         self.waiting = sum(message.cost for message in self.queue)
-        if first is not None and (not self.queue or self.queue[0] is not first):
-            # What had left of the first is spent; the next begins where that would have ended.
-            self.began += first.cost / self.pace
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -241,8 +241,6 @@
 
     def _left(self, poll: Poll, reason: str) -> None:
         proxy = poll.record.proxy
-        if self.polls.get(proxy) is not poll:
-            return
         del self.polls[proxy]
         self._end_poll(poll, 409, f"the stream has ended: {reason}")
         self.instance.leave(proxy)
