--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,10 +16,13 @@
 from driftshed.core.messages import (
     Changes,
     Join,
+    Line,
     ListedServer,
+    Out,
     Report,
     RosterNews,
     ServerReport,
+    Use,
     server_id,
     server_name,
 )
@@ -86,7 +89,11 @@
     for _ in range(300):
         now += random.random() * 0.1
         dice, holder = random.random(), random.choice(holders)
-        if dice < 0.1 and holder.number not in joined:
+        if dice < 0.02 and holder.number not in joined:  # it was with another supervisor meanwhile
+            holder.run, holder.version = "elsewhere", random.randrange(50)
+            strays = [Line(0, "10.9.9.9:80", 1.0), Line(1, "10.9.9.8:80", 1.0), Out(server_name(server(2))), Use(1, 1)]
+            holder.held = {change.key: change for change in strays}
+        elif dice < 0.1 and holder.number not in joined:
             holder.join(hub, remembers=random.random() < 0.8)
             joined.add(holder.number)
         elif dice < 0.16 and holder.number in joined:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -207,6 +207,22 @@
     assert not left(rig)
 
 
+def test_a_stream_is_on_the_connection_of_its_last_poll(rig):
+    rig.roster(1, True, 1, 2)
+    client, joined = rig.join()
+    other = HttpClient(rig.loop, rig.service.address)
+    first = rig.poll(other, joined["stream"], 0)
+    until(rig.loop, lambda: first)
+    held = rig.poll(other, joined["stream"], NEWS.decode(first[0].body).version)
+    client.close()  # the connection that it joined on
+    rig.loop.turn(time.monotonic() + 0.05)
+    rig.roster(2, False, 1, state="draining")
+    until(rig.loop, lambda: held)
+    assert held[0].status == 200 and not left(rig)
+    other.close()
+    until(rig.loop, lambda: left(rig))
+
+
 def test_reports_reach_the_module_summed_by_zone(rig):
     rig.roster(1, True, 1, 2)
     heard = []
