Deltas keep no line of a table that was left and taken up again between two polls

Cause: found by the plain model once proxies also came from other supervisors. A reply that put a proxy on another table and back was compared with tables as if dropped in between, and a delta over several messages hid the drop from the proxy, which kept old lines.

--- a/driftshed/core/holding.py
+++ b/driftshed/core/holding.py
@@ -12,6 +12,15 @@
     """Applies changes to what is held, in place; then drops tables that no operation uses."""
     if whole:
         held.clear()
+    if put(held, changes):
+        tables = {change.table for key, change in held.items() if key[0] == "use"} | {face.EVERY_TABLE}
+        for key in [key for key in held if key[0] in ("line", "level") and key[1] not in tables]:
+            del held[key]
+
+
+def put(held: dict[tuple, Change], changes: Iterable[Change]) -> bool:
+    """Applies changes as far as they are part of one answer: what is used at its end is told by its end alone.
+    Whether an operation was put on a table."""
     used = False
     for change in changes:
         if change.ends:
@@ -19,10 +28,7 @@
         else:
             held[change.key] = change
             used |= change.key[0] == "use"
-    if used:
-        tables = {change.table for key, change in held.items() if key[0] == "use"} | {face.EVERY_TABLE}
-        for key in [key for key in held if key[0] in ("line", "level") and key[1] not in tables]:
-            del held[key]
+    return used
 
 
 def lines_of(held: dict[tuple, Change], operation: int) -> dict[str, float]:
--- a/driftshed/core/hub.py
+++ b/driftshed/core/hub.py
@@ -7,7 +7,7 @@
 
 from driftshed import interface as face
 from driftshed.core.channel import Channel, Message
-from driftshed.core.holding import fold
+from driftshed.core.holding import fold, put
 from driftshed.core.messages import Change, In, Level, Line, Out, Use, encode, server_name
 
 KEPT_MESSAGES = 64  # of each proxy, for deltas; behind them the whole is sent
@@ -231,7 +231,7 @@
         present = dict(record.held)
         for message in record.pending:
             fold(present, message.changes)
-        fold(present, said.get(order.proxy, ()))
+        put(present, said.get(order.proxy, ()))
         changes = said.setdefault(order.proxy, [])
         for key, change in wanted.items():
             if present.get(key) != change:
@@ -280,7 +280,10 @@
         if record.version <= max(record.acked, record.silent_to):
             return None
         since = [message for message in record.log if message.version > record.acked]
-        whole = record.acked < max(record.first, record.base)
+        # Guards against lines of a table that was left and taken up again between two polls: who sees both at once
+        # does not see that it was dropped.
+        moved = len(since) > 1 and any(type(change) is Use for message in since for change in message.changes)
+        whole = moved or record.acked < max(record.first, record.base)
         count = sum(len(message.changes) for message in since)
         if whole or count > len(record.held):
             whole = True
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -188,6 +188,18 @@
     assert server_name(server(9)) not in lines_of(holder.held, 0) and len(lines_of(holder.held, 0)) == 3
 
 
+def test_a_table_left_and_taken_up_again_between_two_polls_keeps_no_old_line():
+    orders = [face.SetLine(server(9), 1.0, 1), face.UseTable(0, 1, 0), face.SetLine(server(0), 0.0, 0)]
+    orders.append(face.UseTable(0, 0, 0))
+    for replies in ([[order] for order in orders], [orders]):
+        hub, (holder,) = hub_with(lines=30)
+        for reply in replies:
+            hub.apply(reply, 2e6)
+        hub.release(3e6)
+        holder.poll(hub, 3e6)
+        assert len(lines_of(holder.held, 0)) == 29 and server_name(server(0)) not in lines_of(holder.held, 0)
+
+
 def test_versions_from_the_future_are_refused():
     hub, (holder,) = hub_with(lines=3)
     with pytest.raises(Refused, match="was never sent"):
