--- a/driftshed/supervisor/flags.py
+++ b/driftshed/supervisor/flags.py
@@ -144,7 +144,7 @@
 FIXED = {
     "own_zone": 0, "list_is_pushed": True, "may_probe": False, "may_tell_peers": False, "only_draining_binds": False,
     "ask_within": 10.0, "line_price": 0.0, "avoids_after": 0, "slices": 0, "sole_owner": False, "keeps_writing": None,
-    "write_settles": None, "buffer_for": None, "move_price": 0.0, "warm_keys": False, "streams": 1, "tick": 0.002,
+    "write_settles": None, "buffer_for": None, "move_price": 0.0, "warm_keys": False, "streams": 1, "tick": 0.02,
 }  # fmt: skip
 
 
