Cold servers are not left with the part of warm ones that end, nor trusted by a blind start

Change: where half or less of a part's wanted weight stays, its other changes are as urgent as the end; a blind start takes the square of that share. Each has a test that fails without it.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -36,6 +36,7 @@
 
 # Ours.
 SPARED = 2 / 3  # of the tip multiple: what a cold server may be asked for
+STAYS = 1 / 2  # of the weight that a part should have: with less left of it, its other changes are as urgent
 DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
 LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
 KEPT = 1 / 2  # of what was met, from one solve to the next
@@ -110,7 +111,7 @@
         self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         # The least that the median server took, rising slowly; the most that a unit of weight answered,
         # fading; that against the tries that come and come again: the worst, for one that starts blind.
-        self.floor, self.unit, self.crowding = float("inf"), 0.0, 1 / facts.tip_multiple
+        self.floor, self.unit, self.crowding = float("inf"), 0.0, facts.tip_multiple**-2
         self.strain_from, self.next_control = now, now + self.control_every
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: dict[tuple[int, int], tuple] = {}  # present, by part and operation: level and tries
@@ -526,8 +527,14 @@
             if out[i] != self.shut[i]:
                 ordinary.append((-1.0, part, face.Withdraw(out[i], self.ids[i])))
         for part in {part for weight, part, _ in urgent if not weight}:
-            if all(not self.line[i] or not lines[i] or out[i] for i, p in enumerate(self.part) if p == part):
-                # Guards against a moment without a server: what replaces the last lines goes with their end.
+            stays, wanted = 0.0, 0.0
+            for i, p in enumerate(self.part):
+                if p == part and not out[i]:
+                    stays += min(lines[i], self.line[i])
+                    wanted += lines[i]
+            if stays <= wanted * STAYS:
+                # Guards against a moment without a server, and against cold ones left with the part of the warm
+                # ones that end: what replaces most of a table goes with its end.
                 urgent = [row for row in ordinary if row[1] == part] + urgent
                 ordinary = [row for row in ordinary if row[1] != part]
         for k, (level, tries) in enumerate(self.valves_wanted):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -118,6 +118,36 @@
     assert world.table[server(2)] < before / 1.5
 
 
+def test_what_replaces_most_of_a_part_goes_with_its_end_so_that_cold_servers_do_not_get_all_of_it():
+    world = World(servers=6)
+    world.run(2, lambda w: [w.hear(name) for name in w.states])
+    warming, cold = [server(n) for n in (20, 21)], [server(n) for n in (22, 23, 24, 25)]
+    for name in warming + cold:
+        world.list(name, face.READY, world.now - 11 * (name in warming))
+    world.run(1, lambda w: [w.hear(name) for name in w.states])
+    world.answers = False  # from now on ordinary changes wait
+    world.run(4, lambda w: [w.hear(name) for name in w.states])
+    for n in range(6):  # the warm ones end together, while those that are warm by now still hold little
+        world.list(server(n), face.DRAINING)
+    world.turn()
+    assert all(not world.sends(server(n)) for n in range(6))
+    assert all(world.table[name] > 0.5 for name in warming)
+    assert sum(world.share(name) for name in cold) < 0.5  # two thirds of the lines that are left
+
+
+def test_a_supervisor_that_has_heard_nothing_spares_cold_servers_more_than_their_multiple_says():
+    # Clients and proxies that try again bring several times what a proxy says of itself.
+    blind = World(servers=3)
+    blind.states |= {server(n): (face.READY, blind.now - 2) for n in (1, 2)}
+    blind.brain = Brain(blind.facts, 1, blind.now)
+    blind.tables, blind.holds, blind.queue = {}, {}, []
+    blind.news = [face.Listing(1, face.CACHED, tuple(map(blind.entry, blind.states)))]
+    blind.news += [face.Joined(p % 2, True, p, 5.0) for p in range(4)]
+    blind.run(1)
+    multiple, grown = blind.facts.tip_multiple, 0.2 + 0.8 * 2 / blind.facts.warm_within
+    assert blind.share(server(1)) <= multiple * grown / 3 / multiple**2
+
+
 def test_a_new_server_begins_with_the_factor_of_its_kind():
     world = World()
     world.run(40, lambda w: [w.hear(server(n), 0.4 if n % 2 else 0.1) for n in range(9)])
