Traces: a columnar, checksummed, indexed format, its tools on the command line, replay and clocks

Blocks of one kind and source, packed by column and compressed, each with its own checksums; the index is made anew where it is missing or old. cut, merge, anonymise, summary, verify, repair, convert, show, generate, replay and fuzz work block by block.

--- a/driftshed/cli.py
+++ b/driftshed/cli.py
@@ -6,6 +6,7 @@
 
 from driftshed.day.command import day
 from driftshed.supervisor.command import supervise
+from driftshed.trace.command import trace
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -16,6 +17,7 @@
 
 main.add_command(supervise)
 main.add_command(day)
+main.add_command(trace)
 
 if __name__ == "__main__":
     main()
--- a/driftshed/core/instance.py
+++ b/driftshed/core/instance.py
@@ -35,7 +35,7 @@
         self, facts: face.StartFacts, seed: int, run: str, now: float, wall: float = 0.0,
         brain: Callable[[face.StartFacts, int, float], Brain] = Brain,
     ) -> None:  # fmt: skip
-        self.facts, self.seed, self.make = facts, seed, brain
+        self.facts, self.seed, self.make, self.began = facts, seed, brain, now
         self.brain = brain(facts, seed, now)
         self.hub = Hub(facts, run)
         self.roster = Roster(facts, wall)
@@ -50,6 +50,7 @@
         self.on_log: Callable[[str], object] = lambda text: None
         self.on_fault: Callable[[Fault], object] = lambda fault: None
         self.on_turn: Callable[[float, list, list], object] | None = None
+        self.on_begin: Callable[[int, float], object] = lambda seed, now: None
 
     # ---- what comes in ----------------------------------------------------------------------------------------
 
@@ -164,6 +165,7 @@
         self.turns.clear()
         self.faults += 1
         self.brain = self.make(self.facts, self.seed + self.faults, now)
+        self.on_begin(self.seed + self.faults, now)
         self.wake_at = now
         joined = self.hub.restart()
         # What was still to be heard is in what is told now: the list as it stands, and who is joined.
--- /dev/null
+++ b/driftshed/trace/schema.py
@@ -0,0 +1,86 @@
+"""The kinds of records that this version writes, and how plain rows become columns. A newer minor version may add kinds
+and columns; what is not known here is passed on as it is."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+
+from driftshed.trace.columns import Batch, TraceError, make, values
+
+# `at`: unix time. `seq`: counts the records of a source, without a hole but where a gap record says so.
+BASE = {"at": "t", "seq": "i"}
+KINDS: dict[str, dict[str, str]] = {
+    # One client's request at a proxy: its tries with their servers, when each began after `at`, how long it took and
+    # what came of it; `value`: billed value earned.
+    "invocation": BASE | {"proxy": "i", "operation": "s", "key": "s", "took": "t", "outcome": "s", "value": "f",
+                          "servers": "S", "began": "T", "spans": "T", "outcomes": "S"},
+    # An instance of the module begins: its facts, and which code decides.
+    "start": BASE | {"run": "s", "begin": "i", "now": "f", "seed": "i", "core": "s", "facts": "b"},
+    # One batch that the module heard, and what it ordered; `turn` counts without a hole within (`run`, `begin`).
+    "turn": BASE | {"run": "s", "begin": "i", "turn": "i", "now": "f", "events": "b", "orders": "b"},
+    # A message seen at one end: the other end has the same `id`. What clocks are compared by.
+    "message": BASE | {"id": "s", "sent": "i"},
+    # Records that could not be written.
+    "gap": BASE | {"until": "t", "lost": "i", "why": "s"},
+    "note": BASE | {"text": "s"},
+}  # fmt: skip
+
+
+def to_batch(kind: str, source: str, rows: list[dict]) -> Batch:
+    """Plain rows, times in seconds, as a batch. Columns that no kind of ours has are typed by their first value."""
+    known = KINDS.get(kind, BASE)
+    types = dict(known)
+    for name, value in rows[0].items():
+        types.setdefault(name, _type_of(value))
+    columns = {}
+    for name, kind_of in types.items():
+        try:
+            column = [row[name] for row in rows]
+        except KeyError:
+            raise TraceError(f"a record of kind {kind} without {name}") from None
+        columns[name] = kind_of, make(kind_of, _micros(kind_of, column))
+    return Batch(kind, source, columns)
+
+
+def _micros(kind: str, column: list) -> list:
+    if kind == "t":
+        return [round(value * 1e6) for value in column]
+    return [[round(item * 1e6) for item in value] for value in column] if kind == "T" else column
+
+
+def _type_of(value: object) -> str:
+    if isinstance(value, list):
+        return _type_of(value[0]).upper() if value and not isinstance(value[0], float | bytes) else "S"
+    return {bool: "i", int: "i", float: "f", str: "s", bytes: "b"}.get(type(value), "s")
+
+
+def to_rows(batch: Batch) -> list[dict]:
+    """The rows of a batch, times in seconds."""
+    columns = {}
+    for name, (kind, column) in batch.columns.items():
+        plain = values(kind, column)
+        if kind == "t":
+            plain = [value / 1e6 for value in plain]
+        elif kind == "T":
+            plain = [[item / 1e6 for item in value] for value in plain]
+        columns[name] = plain
+    names = list(columns)
+    return [dict(zip(names, row, strict=True)) for row in zip(*columns.values(), strict=True)]
+
+
+def by_kind(rows: list[tuple[str, str, dict]]) -> list[Batch]:
+    """(kind, source, row)s as batches, in the order in which kinds and sources first came; rows whose columns differ
+    go into batches of their own."""
+    groups: dict[tuple, list[dict]] = defaultdict(list)
+    for kind, source, row in rows:
+        groups[kind, source, tuple(row)].append(row)
+    return [to_batch(kind, source, group) for (kind, source, _), group in groups.items()]
+
+
+def seconds(micros: int) -> float:
+    return micros / 1e6
+
+
+def is_time(value: float) -> bool:
+    return isinstance(value, int | float) and math.isfinite(value) and abs(value) < 9e12
