Where proxies draw two, a cold server is spared what either draw brings

Change: its share of the lines is such that 1 - (1 - share)^2 stays within what it bears. A test fails without it.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -67,6 +67,7 @@
         self.ask_again, self.weighs = facts.ask_within / 8, facts.listed_weights != "off"
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
         self.spare, self.cap = facts.tip_multiple * SPARED, facts.queue_cap
+        self.by_two = facts.pick == "two"
         self.head = facts.lines_per_message + 1  # and the mark
         self.round_lines = ORDINARY_SHARE * min(self.cap, facts.lines_per_second * facts.drain_grace)
         self.message_cap, self.message_span = facts.message_cap, facts.message_span
@@ -463,7 +464,10 @@
                     wanted[i] = min(wanted[i], self.listed[i] * grown)
                     bears = grown * self.spare * self.crowding * self.listed[i] * self.factor[i] / full
                     self.bears[part] += bears
-                    cold[i] = bears * (sum(brought) / brought[part] if brought[part] else len(brought))
+                    share = bears * (sum(brought) / brought[part] if brought[part] else len(brought))
+                    # Guards against a cold server that alone answers: of two drawn, proxies take the one with
+                    # less out, so among servers that hold what they take it gets what either draw brings.
+                    cold[i] = 1 - max(0.0, 1 - share) ** 0.5 if self.by_two else share
             # Guards against pushing a cold server over: however much comes, its share of all tries stays
             # within what it bears; warm ones do not fall. Harm: in a deep overload it idles.
             warm = sum(wanted[i] for i in servers if i not in cold and self.out_at[i] is None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -148,6 +148,21 @@
     assert blind.share(server(1)) <= multiple * grown / 3 / multiple**2
 
 
+def test_where_proxies_draw_two_a_cold_server_is_spared_what_either_draw_brings():
+    def bears(pick: str) -> float:
+        world = World(extra=f"domain.pick={pick}\n")
+        world.run(4, lambda w: [w.hear(name) for name in w.states])
+        for n in range(3):
+            world.list(server(n), face.READY, world.now - 10)
+        for n in range(3, 9):  # entry steps are skipped, so that only what they bear holds the cold ones back
+            world.list(server(n), face.DRAINING if n > 4 else face.READY)
+        world.run(1.5, lambda w: [w.hear(n, 0.1, 30, 40) for n in w.states])
+        return world.share(server(0))
+
+    one, two = bears("weighted"), bears("two")
+    assert 0.02 < two < one and 1 - (1 - two) ** 2 <= one * 1.02
+
+
 def test_a_new_server_begins_with_the_factor_of_its_kind():
     world = World()
     world.run(40, lambda w: [w.hear(server(n), 0.4 if n % 2 else 0.1) for n in range(9)])
