--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -22,7 +22,8 @@
 @click.option("--json", "as_json", is_flag=True, help="print one object and nothing else")
 @click.option("--tamper", type=click.Choice(RULES), help="break this rule between supervisor and proxies")
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="keep record and logs in this folder")
-def day(name: str, seed: int, as_json: bool, tamper: str | None, keep: Path | None) -> None:
+@click.option("--trace", type=click.Path(file_okay=False, path_type=Path), help="write traces into this folder")
+def day(name: str, seed: int, as_json: bool, tamper: str | None, keep: Path | None, trace: Path | None) -> None:
     """Plays the day NAME (one that comes along, or a file) on loopback sockets. Exit code: 0 when every rule is kept,
     1 when one is broken, 2 on bad input."""
     try:
@@ -32,7 +33,7 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder = keep or Path(scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        stage = play(script, seed, folder, tamper)
+        stage = play(script, seed, folder, tamper, trace)
         verdict = judge(script, stage.record)
         size = stage.recorder.bytes
     if as_json:
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -23,6 +24,7 @@
 from driftshed.standins.proxy import ProxyStandin
 from driftshed.standins.roster import RosterStandin
 from driftshed.standins.server import ServerStandin
+from driftshed.trace.writer import TraceWriter, tend_trace
 
 SETTLE = 2.5  # seconds after the last arrival, for what is under way
 WORK_PORT, ASK_PORT, CONTROL_PORT, ROSTER_PORT = 8000, 9000, 7000, 7001
@@ -79,8 +81,8 @@
 class SupervisorProcess:
     """`driftshed supervise` as a process of its own, at an address that it keeps when it is started anew."""
 
-    def __init__(self, script: says.Script, host: str, logs: Path) -> None:
-        self.script, self.host, self.logs = script, host, logs
+    def __init__(self, script: says.Script, host: str, logs: Path, trace: Path | None = None) -> None:
+        self.script, self.host, self.logs, self.trace = script, host, logs, trace
         self.port, self.process, self.seed = 7100, None, 0
 
     def start(self, seed: int) -> None:
@@ -91,6 +93,8 @@
             command += ["--operation", text]
         for name, value in self.script.flags.items():
             command += [f"--{name}", str(value)]
+        if self.trace:
+            command += ["--trace", str(self.trace)]
         environment = {name: value for name, value in os.environ.items() if not name.startswith("DRIFTSHED_")}
         with self.logs.open("ab") as log:
             self.process = subprocess.Popen(
@@ -121,7 +125,9 @@
 class Stage:
     """Plays one day; `events` says what was done when, for whoever reads the verdict."""
 
-    def __init__(self, script: says.Script, seed: int, folder: Path, tamper: str | None = None) -> None:
+    def __init__(
+        self, script: says.Script, seed: int, folder: Path, tamper: str | None = None, trace: Path | None = None
+    ) -> None:
         self.script, self.seed, self.facts = script, seed, script.facts
         self.random = Random(f"day {seed}")
         self.net, self.lock = free_net(os.getpid())
@@ -132,7 +138,8 @@
         self.events: list[dict] = []
         self.cold: set[str] = set()
         host = f"127.{self.net}.0"
-        self.supervisor = SupervisorProcess(script, f"{host}.9", folder / "supervisor.log")
+        self.supervisor = SupervisorProcess(script, f"{host}.9", folder / "supervisor.log", trace)
+        self.trace = TraceWriter(trace, "proxies") if trace else None
         target = (f"{host}.9", 7100)
         self.control = Relay(self.loop, self.recorder, CONTROL, (f"{host}.2", CONTROL_PORT), target)
         self.roster_relay = Relay(self.loop, self.recorder, ROSTER, (f"{host}.3", ROSTER_PORT), target)
@@ -181,6 +188,14 @@
         feeder = HttpClient(self.loop, self.roster_relay.address)
         self.roster = RosterStandin(self.loop, feeder, fleet.roster_lag)
         self.roster.begin([self._listed(number) for number in range(fleet.servers)])
+        tell = None
+        if self.trace:
+            tend_trace(self.loop, self.trace)
+            wall = time.time() - self.loop.clock()
+
+            def tell(kind: str, at: float, **fields: object) -> None:
+                self.trace.add(kind, at + wall, **fields)
+
         rates = [script.traffic.uneven ** self.random.random() for _ in range(facts.proxies)]
         rates = [rate / sum(rates) * script.traffic.rate for rate in rates]
         for number, rate in enumerate(rates):
@@ -193,7 +208,7 @@
                 ProxyStandin(
                     self.loop, number, facts.zones[zone], rate, address, self.control.address, facts,
                     [self.cast.server(n) for n in standing], self.random.getrandbits(32),
-                    self.recorder.accepted(ASK, address),
+                    self.recorder.accepted(ASK, address), tell,
                 )  # fmt: skip
             )
             self.clients.append(
@@ -218,6 +233,8 @@
         self.control.close()
         self.roster_relay.close()
         self.recorder.close()
+        if self.trace:
+            self.trace.close()
         self.loop.close()
         self.lock.close()
 
@@ -372,8 +389,10 @@
         self.loop.after(trouble.lasts, over)
 
 
-def play(script: says.Script, seed: int, folder: Path, tamper: str | None = None) -> Stage:
-    """Plays a day; what passed is in the stage's `record`."""
-    stage = Stage(script, seed, folder, tamper)
+def play(
+    script: says.Script, seed: int, folder: Path, tamper: str | None = None, trace: Path | None = None
+) -> Stage:
+    """Plays a day; what passed is in the stage's `record`, and in traces where a folder for them is given."""
+    stage = Stage(script, seed, folder, tamper, trace)
     stage.play()
     return stage
--- a/driftshed/standins/client.py
+++ b/driftshed/standins/client.py
@@ -36,7 +36,8 @@
         self.asked += 1
         operation = self.operations[place]
         patience = operation.integration_timeout * self.random.uniform(*PATIENCE)
-        query = f"inv={self.asked}&work={self.random.uniform(*self.work[place]):.4f}"
+        household = int(self.random.paretovariate(0.8)) % 5000  # a few ask far more often than the rest
+        query = f"inv={self.asked}&work={self.random.uniform(*self.work[place]):.4f}&key=household-{household:04d}"
         self._ask(operation, query, 1, self.loop.clock() + patience)
 
     def _ask(self, operation: face.Operation, query: str, ask: int, until: float) -> None:
--- a/driftshed/standins/proxy.py
+++ b/driftshed/standins/proxy.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from random import Random
+from urllib.parse import parse_qsl
 
 import msgspec
 
@@ -21,11 +22,12 @@
 class Invocation:
     """One client's request under way."""
 
-    __slots__ = ("request", "operation", "query", "began", "tried", "call")
+    __slots__ = ("request", "operation", "query", "began", "tried", "call", "tries")
 
     def __init__(self, request: Request, operation: face.Operation, query: str, began: float) -> None:
         self.request, self.operation, self.query, self.began = request, operation, query, began
         self.tried: list[str] = []
+        self.tries: list[tuple[float, float, str]] = []  # began after the first, took, what came of it
         self.call = None
 
 
@@ -34,8 +36,9 @@
 
     def __init__(
         self, loop: Loop, number: int, zone: str, rate: float, address: tuple[str, int], control: tuple[str, int],
-        facts: face.StartFacts, standing: list[str], seed: int, tap=None,
+        facts: face.StartFacts, standing: list[str], seed: int, tap=None, trace=None,
     ) -> None:  # fmt: skip
+        self.trace = trace  # called as trace(kind, at, **fields) with what a trace of this proxy holds
         self.loop, self.number, self.zone, self.rate, self.facts = loop, number, zone, rate, facts
         self.random = Random(seed)
         self.operations = {operation.name: place for place, operation in enumerate(facts.operations)}
@@ -81,6 +84,8 @@
 
     def _poll(self) -> None:
         path = f"/v1/proxies/{self.number}/changes?stream={self.stream}&after={self.version}&wait={POLL}"
+        if self.trace:
+            self.trace("message", self.loop.clock(), id=f"{self.stream}/{self.version}/applied", sent=1)
         self.control.call("GET", path, b"", self._told, POLL + 2)
 
     def _told(self, answer: Answer) -> None:
@@ -91,6 +96,8 @@
         fold(self.held, changes.changes, changes.whole)
         self.version = changes.version
         if changes.changes:
+            if self.trace:
+                self.trace("message", self.loop.clock(), id=f"{self.stream}/{self.version}/told", sent=0)
             self.lines = [lines_of(self.held, k) if ("use", k) in self.held else None for k in range(len(self.lines))]
         self._poll()
 
@@ -120,6 +127,7 @@
         level = self.held.get(("level", self._table(place), place))
         if level is not None and self.facts.level_form == "share" and self.random.random() >= level.level:
             request.answer(503, b"", "text/plain", "x-reason: level\r\nx-never-ran: 1\r\n")
+            self._note(Invocation(request, self.facts.operations[place], request.query, self.loop.clock()), 503)
             return
         inv = Invocation(request, self.facts.operations[place], request.query, self.loop.clock())
         request.on_gone = lambda: inv.call and inv.call.cancel()
@@ -150,6 +158,7 @@
         if name is None:
             reason = "bare" if not inv.tried else "no other"
             inv.request.answer(503, b"", "text/plain", f"x-reason: {reason}\r\nx-never-ran: 1\r\n")
+            self._note(inv, 503)
             return
         left = inv.operation.integration_timeout - (self.loop.clock() - inv.began)
         mode = self._tries(place)
@@ -168,6 +177,8 @@
 
     def _tried(self, inv: Invocation, place: int, name: str, began: float, answer: Answer) -> None:
         self.out_now[name] -= 1
+        now = self.loop.clock()
+        inv.tries.append((began - inv.began, now - began, answer.error or str(answer.status)))
         row = self.met.setdefault(name, [0, 0, 0.0, None])
         row[0] += 1
         if answer.status == 200:
@@ -175,6 +186,7 @@
             if self.facts.load_fields and b"x-load" in answer.headers:
                 row[3] = [float(part) for part in answer.headers[b"x-load"].split(b",")][: len(self.facts.load_fields)]
             inv.request.answer(200, answer.body, "text/plain")
+            self._note(inv, 200)
             return
         row[1] += 1
         never = answer.headers.get(b"x-never-ran") == b"1" and not self.facts.full_may_have_run
@@ -190,3 +202,18 @@
         status = 503 if never else 502
         extra = "x-never-ran: 1\r\n" if never else ""
         inv.request.answer(status, b"", "text/plain", f"x-reason: {answer.error or answer.status}\r\n{extra}")
+        self._note(inv, status)
+
+    def _note(self, inv: Invocation, status: int) -> None:
+        """Tells the trace of an invocation that is over."""
+        if not self.trace:
+            return
+        operation, took = inv.operation, self.loop.clock() - inv.began
+        in_time = took <= operation.latency_objective
+        outcome = {200: "succeeded" if in_time else "late", 503: "rate-limited"}.get(status, "errored")
+        value = {"succeeded": 1.0, "late": operation.late_share}.get(outcome, 0.0) * operation.billed_value
+        key = dict(parse_qsl(inv.query)).get("key", "")
+        began, spans, outcomes = ([each[k] for each in inv.tries] for k in range(3))
+        self.trace("invocation", inv.began, proxy=self.number, operation=operation.name, key=key, took=took,
+                   outcome=outcome, value=value, servers=inv.tried[: len(began)], began=began, spans=spans,
+                   outcomes=outcomes)  # fmt: skip
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from pathlib import Path
 
 import click
 
@@ -15,6 +16,8 @@
 from driftshed.supervisor.flags import fact_options, option, start_facts
 from driftshed.supervisor.logs import LEVELS, make_log
 from driftshed.supervisor.service import Service
+from driftshed.trace.recording import Recording
+from driftshed.trace.writer import TraceWriter, tend_trace
 
 
 @click.command()
@@ -26,10 +29,14 @@
 @option("body-bytes", type=click.IntRange(1024, 1 << 28), default=1 << 20, help="the largest body taken")
 @option("log-form", type=click.Choice(["json", "console"]), default="json", help="how logs are written")
 @option("log-level", type=click.Choice(list(LEVELS)), default="info", help="the least that is logged")
+@option("trace", type=click.Path(file_okay=False, path_type=Path), help="record events and orders in this folder")
+@option("trace-size", type=click.FloatRange(0.01, 100000), default=64.0, help="megabytes of a trace file, about")
+@option("trace-age", type=click.FloatRange(1, 864000), default=3600.0, help="seconds after which a new file begins")
+@option("trace-fsync", type=click.FloatRange(0, 3600), default=1.0, help="seconds between syncs; 0: after each block")
 @fact_options
 def supervise(
     listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
-    log_level: str, **given: object,
+    log_level: str, trace: Path | None, trace_size: float, trace_age: float, trace_fsync: float, **given: object,
 ) -> None:  # fmt: skip
     """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
     host, _, port = listen.rpartition(":")
@@ -51,6 +58,19 @@
     except OSError as error:
         raise click.BadParameter(f"{listen}: {error.strerror}; take a free port, or 0", param_hint="--listen") from None
 
+    writer = None
+    if trace is not None:
+        try:
+            source, size = f"supervisor-{facts.own_number}", int(trace_size * 1e6)
+            writer = TraceWriter(trace, source, {"run": run}, size, trace_age, trace_fsync)
+        except OSError as error:
+            text = f"{trace}: {error.strerror}; name a folder that can be written"
+            raise click.BadParameter(text, param_hint="--trace") from None
+        for name, blocks, taken in writer.recovered:
+            log("trace_recovered", file=name, blocks=blocks, bytes_cut_off=taken)
+        service.on_message = Recording(instance, writer).message
+        tend_trace(loop, writer, log)
+
     def stop(number: int) -> None:
         log("stopping", signal=signal.Signals(number).name)
         service.stop()
@@ -60,5 +80,7 @@
     print(f"listening {service.address[0]}:{service.address[1]}", flush=True)
     loop.run()
     loop.close()
+    if writer is not None and not writer.close(0.5):
+        log("trace_unfinished", level="warning", why="the disk did not take it in time")
     log("stopped")
     sys.stderr.flush()
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -50,6 +51,8 @@
         self.turn_due = False
         self.refused = 0
         self.began = loop.clock()
+        # Called with each answer to a poll that tells something, and with each poll that says what is applied.
+        self.on_message: Callable[[float, str, bool], object] | None = None
         self.http = HttpServer(loop, address, self._handle, bounds, refusal)
         self.http.on_connection_end = self._connection_ended
         self.address = self.http.address
@@ -184,6 +187,8 @@
         except ValueError:
             raise Refused(400, "after=VERSION (a whole number) and wait=SECONDS (0 or more) are wanted") from None
         self.instance.ack(record, after, self.loop.now)
+        if self.on_message:
+            self.on_message(self.loop.now, f"{record.stream}/{after}/applied", False)
         poll = self.polls[proxy]
         if poll.request is not None:
             self._answer(poll, 409, refusal("another poll of this stream came"))
@@ -195,7 +200,7 @@
             self._soon()
         body = self.instance.hub.news(record)
         if body is not None:
-            self._answer(poll, 200, body)
+            self._tell(poll, body)
         else:
             poll.timer = self.loop.after(min(wait, self.wait_most), lambda: self._poll_over(poll))
 
@@ -205,7 +210,12 @@
     def _answer_poll(self, poll: Poll) -> None:
         body = self.instance.hub.news(poll.record)
         if body is not None:
-            self._answer(poll, 200, body)
+            self._tell(poll, body)
+
+    def _tell(self, poll: Poll, body: bytes) -> None:
+        if self.on_message:
+            self.on_message(self.loop.clock(), f"{poll.stream}/{poll.record.version}/told", True)
+        self._answer(poll, 200, body)
 
     def _answer(self, poll: Poll, status: int, body: bytes) -> None:
         if poll.timer:
--- a/driftshed/trace/files.py
+++ b/driftshed/trace/files.py
@@ -78,8 +78,7 @@
         return self.file.read(size)
 
     def _place_at(self, offset: int) -> Place:
-        place = read_meta(self.bytes_at(offset, BLOCK.size + MOST_META + 4), 0)
-        return Place(offset, place.length, place.meta)
+        return read_meta(self.bytes_at(offset, BLOCK.size + MOST_META + 4), offset)
 
     def _by_index(self) -> list[Place] | None:
         """The index at the end; None where there is none, or it is not of this file as it stands."""
--- a/driftshed/trace/framing.py
+++ b/driftshed/trace/framing.py
@@ -84,17 +84,18 @@
 
 
 def read_meta(data: bytes, offset: int) -> Place:
-    """What stands at an offset, by its head alone. TraceError where there is no sound head of a block."""
-    if data[offset : offset + 4] != SYNC or len(data) < offset + BLOCK.size:
+    """The block whose first bytes these are, at an offset of its file, by its head alone. TraceError where there is no
+    sound head of a block."""
+    if data[:4] != SYNC or len(data) < BLOCK.size:
         raise TraceError(f"no block begins at byte {offset}")
-    _, stored, size, _ = BLOCK.unpack_from(data, offset)
-    end = offset + BLOCK.size + size
+    _, stored, size, _ = BLOCK.unpack_from(data)
+    end = BLOCK.size + size
     if size > MOST_META or len(data) < end + 4:
         raise TraceError(f"the block at byte {offset} is cut short")
-    if struct.unpack_from("<I", data, end)[0] != xxhash.xxh32_intdigest(data[offset:end]):
+    if struct.unpack_from("<I", data, end)[0] != xxhash.xxh32_intdigest(data[:end]):
         raise TraceError(f"the block at byte {offset} is damaged in its head")
     try:
-        meta = msgspec.msgpack.decode(data[offset + BLOCK.size : end], type=Meta)
+        meta = msgspec.msgpack.decode(data[BLOCK.size : end], type=Meta)
     except msgspec.DecodeError:
         raise TraceError(f"the block at byte {offset} is damaged in its head") from None
     return Place(offset, BLOCK.size + size + 4 + stored + 8, meta)
--- a/driftshed/trace/fuzz.py
+++ b/driftshed/trace/fuzz.py
@@ -82,7 +82,7 @@
     writer.close()
     data = sound.read_bytes()
     _, _, begins = read_head(data)
-    assert read_meta(data, begins).meta.records
+    assert read_meta(data[begins:], begins).meta.records
     raws, until = [pack(batch) for batch in made], time.monotonic() + seconds
     tracemalloc.start()
     try:
--- a/driftshed/trace/replay.py
+++ b/driftshed/trace/replay.py
@@ -47,8 +47,11 @@
 
 def decode_facts(data: bytes) -> face.StartFacts:
     try:
-        return msgspec.msgpack.decode(data, type=face.StartFacts)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        facts = face.StartFacts(*msgspec.msgpack.decode(data, type=list))
+        operations = tuple(face.Operation(*row) for row in facts.operations)
+        lists = {name: tuple(getattr(facts, name)) for name in ("zones", "kinds", "load_fields")}
+        return facts._replace(operations=operations, **lists)
+    except (msgspec.MsgspecError, TypeError, RecursionError) as error:
         raise TraceError(f"recorded start facts that cannot be read: {error}") from None
 
 
@@ -108,7 +111,7 @@
         self.turns[key] += 1
 
     def verdicts(self) -> list[Verdict]:
-        for key in self.brains:
+        for key in [key for key in self.brains if key not in self.found]:
             self._end(key, "same", f"{self.turns[key]} turns bring the same orders, byte for byte")
         return [self.found[key] for key in sorted(self.found)]
 
--- a/driftshed/trace/writer.py
+++ b/driftshed/trace/writer.py
@@ -151,20 +151,19 @@
     def _write(self, rows: list) -> None:
         with self.lock:
             gap, self.gap = self.gap, None
-        told = rows
-        if gap:
-            since, until, count, why = gap
-            row = {"at": since, "seq": 0, "until": until, "lost": count, "why": why}
-            told = [("gap", self.source, row), *rows]
         try:
             if self.file is None:
                 self.number += 1
                 path = self.folder / f"{self.source}-{self.number:06d}{SUFFIX}"
                 self.file = self.opener(path, self.about | {"created": self.clock()})
                 self.opened_at = self.synced_at = time.monotonic()
+            if gap:
+                since, until, count, why = gap
+                row = {"at": since, "seq": 0, "until": until, "lost": count, "why": why}
+                self.file.batch(by_kind([("gap", self.source, row)])[0])
+                gap = None
             before = len(self.file.places)
-            batches = by_kind(told)
-            for batch in batches:
+            for batch in by_kind(rows):
                 self.file.batch(batch)
             self.written += sum(place.meta.records for place in self.file.places[before:])
         except (OSError, TraceError) as error:
@@ -217,6 +216,21 @@
         return not self.thread.is_alive()
 
 
+def tend_trace(loop, writer: TraceWriter, log: Callable[..., object] = lambda *_, **__: None) -> None:
+    """Hands over once a second on a loop, and logs what was lost since."""
+    said = 0
+
+    def tend() -> None:
+        nonlocal said
+        loop.after(HOLD, tend)
+        writer.tick()
+        if writer.lost != said:
+            log("trace_lost", level="warning", records=writer.lost - said, why=writer.error or "the disk is too slow")
+            said = writer.lost
+
+    loop.after(HOLD, tend)
+
+
 def free_name(path: Path) -> None:
     """TraceError where a file of this name stands already: nothing is written over."""
     if os.path.lexists(path):
