--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -1,6 +1,6 @@
 """A supervisor as `driftshed supervise` runs it, with a histogram of how long orders took: for `scale.py` alone.
 
-    python benchmarks/hosted.py PORT SERVERS PROXIES LINES_PER_SECOND [plain]
+    python benchmarks/hosted.py PORT SERVERS PROXIES LINES_PER_SECOND [plain] [trace=DIR]
 
 `plain` puts a stand-in in the module's place that puts every proxy on one table and changes a line when the roster
 does: the program's own cost. On SIGTERM one JSON object goes to standard output."""
@@ -12,6 +12,7 @@
 import signal
 import sys
 import time
+from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
 
@@ -22,6 +23,8 @@
 from driftshed.net.loop import Loop
 from driftshed.supervisor.flags import FLAGS, read_operation, start_facts
 from driftshed.supervisor.service import Service
+from driftshed.trace.recording import Recording
+from driftshed.trace.writer import TraceWriter, tend_trace
 
 
 class Plain:
@@ -59,9 +62,17 @@
 
     service = Service(loop, instance, ("127.0.0.1", port), lambda *_, **__: None, 60.0, 30.0, Bounds(connections=30000))
     instance.hub.on_applied = applied
+    writer = None
+    for part in sys.argv[5:]:
+        if part.startswith("trace="):
+            writer = TraceWriter(Path(part.partition("=")[2]), "supervisor-0")
+            service.on_message = Recording(instance, writer).message
+            tend_trace(loop, writer)
     loop.on_signals((signal.SIGTERM,), lambda number: service.stop())
     print("listening", flush=True)
     loop.run()
+    if writer:
+        writer.close()
     figures = {name: {"count": h.get_total_count(), "p50_ms": h.get_value_at_percentile(50) / 1000,
                       "p99_ms": h.get_value_at_percentile(99) / 1000, "most_ms": h.get_max_value() / 1000}
                for name, h in (("whole", whole), ("own", own))}  # fmt: skip
--- a/driftshed/trace/columns.py
+++ b/driftshed/trace/columns.py
@@ -15,6 +15,7 @@
 MOST_ITEMS = 1 << 20  # of all lists of a column together
 MOST_RAW = 16 << 20  # bytes of a block's payload, not compressed
 TYPES = "tifsbTIS"
+MOST_KNOWN = 255  # different floats of a column that go into a table
 PLAIN, STEPS = 0, 1  # packings of whole numbers
 
 
@@ -211,8 +212,12 @@
     if kind in "ti":
         return _pack_ints(column)
     if kind == "f":
-        planes = np.ascontiguousarray(column.astype("<f8").view(np.uint8).reshape(len(column), 8).T)
-        return planes.tobytes()
+        # Few different ones, told apart by their bits, go into a table; else all are written out.
+        known, codes = np.unique(column.astype("<f8").view(np.uint64), return_inverse=True)
+        if len(known) > MOST_KNOWN:
+            known, codes = column.astype("<f8"), np.empty(0)
+        planes = np.ascontiguousarray(known.view(np.uint8).reshape(len(known), 8).T).tobytes()
+        return _sized(planes) + (_pack_ints(codes.astype(np.int64)) if len(codes) else b"")
     if kind == "s":
         used, codes = np.unique(column.codes, return_inverse=True)
         texts = [column.table[code].encode("utf-8", "surrogatepass") for code in used.tolist()]
@@ -233,12 +238,21 @@
 def _unpack(kind: str, data: bytes, count: int) -> Column:
     if kind in "ti":
         return _unpack_ints(data, count)
+    rest = _Bytes(data)
     if kind == "f":
-        if len(data) != 8 * count:
+        planes = rest.sized()
+        if len(planes) % 8 or len(planes) > 8 * count:
             raise ValueError("floats are of another length than their records")
-        planes = np.frombuffer(data, dtype=np.uint8).reshape(8, count)
-        return np.ascontiguousarray(planes.T).reshape(-1).view("<f8").astype(np.float64)
-    rest = _Bytes(data)
+        known = np.frombuffer(planes, dtype=np.uint8).reshape(8, len(planes) // 8)
+        known = np.ascontiguousarray(known.T).reshape(-1).view("<f8").astype(np.float64)
+        if rest.at == len(data):
+            if len(known) != count:
+                raise ValueError("floats are of another length than their records")
+            return known
+        codes = _unpack_ints(rest.rest(), count)
+        if not 0 <= codes.min() <= codes.max() < len(known):
+            raise ValueError("floats point beyond their table")
+        return known[codes]
     if kind == "s":
         known = SIZE.unpack(rest.take(SIZE.size))[0]
         if known > count:
--- a/driftshed/trace/files.py
+++ b/driftshed/trace/files.py
@@ -33,7 +33,7 @@
     read_meta,
     tail_bytes,
 )  # fmt: skip
-from driftshed.trace.schema import to_rows
+from driftshed.trace.schema import spread, to_rows
 
 CHUNK = 1 << 20
 BLOCK_RECORDS = 8192  # that writers put in a block
@@ -157,7 +157,7 @@
         def records(key: tuple[str, str], places: list[Place]) -> Iterator[tuple]:
             for place in places:
                 try:
-                    batch = self.read(place)
+                    batch = spread(self.read(place))
                 except TraceError as error:
                     self.damages.append(Damage(place.offset, str(error)))
                     continue
--- a/driftshed/trace/generate.py
+++ b/driftshed/trace/generate.py
@@ -8,6 +8,7 @@
 
 from driftshed.trace.columns import Batch, Lists, Strings
 from driftshed.trace.files import BLOCK_RECORDS
+from driftshed.trace.schema import fold
 
 OPERATIONS, VALUES = ["plan-lookup", "purchase-split", "history-read"], np.array([1.0, 5.0, 2.0])
 OUTCOMES = ["succeeded", "late", "errored", "rate-limited"]
@@ -52,4 +53,4 @@
             "outcomes": ("S", Lists(counts, Strings(outcome_of_try, TRIES))),
         }  # fmt: skip
         seq[source] += count
-        yield Batch("invocation", f"proxies-{source}", columns)
+        yield fold(Batch("invocation", f"proxies-{source}", columns))
--- a/driftshed/trace/schema.py
+++ b/driftshed/trace/schema.py
@@ -6,7 +6,9 @@
 import math
 from collections import defaultdict
 
-from driftshed.trace.columns import Batch, TraceError, make, values
+import numpy as np
+
+from driftshed.trace.columns import Batch, Lists, TraceError, make, values
 
 # `at`: unix time. `seq`: counts the records of a source, without a hole but where a gap record says so.
 BASE = {"at": "t", "seq": "i"}
@@ -27,6 +29,56 @@
 }  # fmt: skip
 
 
+# As it is stored, an invocation says what is new: `gaps`, from the end of the try before (or from `at`) to the
+# beginning of each, and `rest`, from the end of the last to the answer. `began` and `took` follow from them and from `spans`.
+STORED = {kind: dict(columns) for kind, columns in KINDS.items()}
+STORED["invocation"] = {{"began": "gaps", "took": "rest"}.get(n, n): kind for n, kind in KINDS["invocation"].items()}
+
+
+def _ends(counts: np.ndarray, whole: np.ndarray) -> tuple[np.ndarray, np.ndarray]:
+    """Running sums of items, each record's from 0; and the last of each record, 0 where it has none."""
+    sums = np.cumsum(whole)
+    last = np.cumsum(counts)
+    before = np.concatenate(([0], sums))[last - counts]
+    return sums - np.repeat(before, counts), np.concatenate(([0], sums))[last] - before
+
+
+def spread(batch: Batch) -> Batch:
+    """A batch as it is stored, with what follows from it."""
+    if batch.kind != "invocation" or not {"gaps", "rest", "spans"} <= set(batch.columns):
+        return batch
+    counts, gaps = batch.columns["gaps"][1]
+    spans = batch.columns["spans"][1]
+    if not np.array_equal(counts, spans.counts):
+        raise TraceError("an invocation has more tries in one column than in another")
+    ends, last = _ends(counts, gaps + spans.items)
+    new = {"gaps": ("began", "T", Lists(counts, ends - spans.items)), "rest": ("took", "t", last + batch.ints("rest"))}
+    return _renamed(batch, new)
+
+
+def fold(batch: Batch) -> Batch:
+    """The other way round."""
+    if batch.kind != "invocation" or not {"began", "took", "spans"} <= set(batch.columns):
+        return batch
+    counts, began = batch.columns["began"][1]
+    spans = batch.columns["spans"][1]
+    if not np.array_equal(counts, spans.counts):
+        raise TraceError("an invocation has more tries in one column than in another")
+    ends = began + spans.items
+    before = np.concatenate(([0], ends))[:-1] if len(ends) else ends
+    firsts = (np.cumsum(counts) - counts)[counts > 0]
+    before[firsts] = 0
+    last = np.zeros(len(counts), dtype=np.int64)
+    last[counts > 0] = ends[(np.cumsum(counts) - 1)[counts > 0]]
+    new = {"began": ("gaps", "T", Lists(counts, began - before)), "took": ("rest", "t", batch.ints("took") - last)}
+    return _renamed(batch, new)
+
+
+def _renamed(batch: Batch, new: dict) -> Batch:
+    rows = [new.get(name, (name, *column)) for name, column in batch.columns.items()]
+    return Batch(batch.kind, batch.source, {name: (kind, column) for name, kind, column in rows})
+
+
 def to_batch(kind: str, source: str, rows: list[dict]) -> Batch:
     """Plain rows, times in seconds, as a batch. Columns that no kind of ours has are typed by their first value."""
     known = KINDS.get(kind, BASE)
@@ -40,7 +92,7 @@
         except KeyError:
             raise TraceError(f"a record of kind {kind} without {name}") from None
         columns[name] = kind_of, make(kind_of, _micros(kind_of, column))
-    return Batch(kind, source, columns)
+    return fold(Batch(kind, source, columns))
 
 
 def _micros(kind: str, column: list) -> list:
@@ -58,7 +110,7 @@
 def to_rows(batch: Batch) -> list[dict]:
     """The rows of a batch, times in seconds."""
     columns = {}
-    for name, (kind, column) in batch.columns.items():
+    for name, (kind, column) in spread(batch).columns.items():
         plain = values(kind, column)
         if kind == "t":
             plain = [value / 1e6 for value in plain]
--- a/driftshed/trace/tools.py
+++ b/driftshed/trace/tools.py
@@ -18,7 +18,7 @@
 from driftshed.trace.columns import TYPES, Batch, Strings, TraceError, make
 from driftshed.trace.files import BLOCK_RECORDS, Collector, TraceFile, TraceFileWriter
 from driftshed.trace.framing import MINOR
-from driftshed.trace.schema import KINDS, to_rows
+from driftshed.trace.schema import KINDS, STORED, fold, spread, to_rows
 from driftshed.trace.writer import free_name
 
 NO_BYTES = 1 << 62
@@ -217,11 +217,11 @@
                     for code in used.tolist():
                         table[code] = pseudonym(table[code])
                     columns[name] = kind, Strings(column.codes, table)
-                elif kind in "sSb" and (name not in PLAIN_TEXT or KINDS[batch.kind].get(name) != kind):
+                elif kind in "sSb" and (name not in PLAIN_TEXT or STORED[batch.kind].get(name) != kind):
                     dropped[f"{batch.kind}.{name}"] += batch.size
-                    if name in KINDS[batch.kind]:
+                    if name in STORED[batch.kind]:
                         columns[name] = kind, make(kind, [""] * batch.size)
-                elif name in KINDS[batch.kind]:
+                elif name in STORED[batch.kind]:
                     columns[name] = kind, column
                 else:
                     dropped[f"{batch.kind}.{name}"] += batch.size
@@ -254,7 +254,7 @@
             if batch.kind == "gap":
                 lost += int(batch.ints("lost").sum())
             if batch.kind == "invocation":
-                _add_invocations(batch, operations, servers)
+                _add_invocations(spread(batch), operations, servers)
         return {
             "file": file.path.name, "format": f"1.{file.minor}", "about": file.about, "bytes": file.size,
             "indexed": file.indexed, "records": sum(kinds.values()), "kinds": dict(kinds), "sources": dict(sources),
@@ -400,7 +400,7 @@
         rows = waiting.pop(key)
         shape = types[key[0]]
         columns = {name: (kind, make(kind, _plain(kind, [row[name] for row in rows]))) for name, kind in shape.items()}
-        collector.add(Batch(*key, columns))
+        collector.add(fold(Batch(*key, columns)))
 
     try:
         for number, line in enumerate(lines, 1):
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -27,7 +27,7 @@
 from driftshed.trace.generate import batches
 from driftshed.trace.recording import Recording
 from driftshed.trace.replay import Replay
-from driftshed.trace.schema import KINDS, by_kind, to_rows
+from driftshed.trace.schema import STORED, by_kind, to_rows
 from driftshed.trace.tools import Wanted
 from driftshed.trace.writer import MOST_WAITING, TraceWriter, close_cleanly
 from tests.test_core import joined_instance, play
@@ -599,6 +599,6 @@
         collector.close()
     assert (tmp_path / "a").read_bytes() == (tmp_path / "b").read_bytes()
     with TraceFile(tmp_path / "a") as file:
-        assert set(next(file.batches()).columns) == set(KINDS["invocation"])
+        assert set(next(file.batches()).columns) == set(STORED["invocation"])
 
 
