--- a/driftshed/trace/schema.py
+++ b/driftshed/trace/schema.py
@@ -32,6 +32,7 @@
 # As it is stored, an invocation says what is new: `gaps`, from the end of the try before (or from `at`) to the
 # beginning of each, and `rest`, from the end of the last to the answer. `began` and `took` follow from them and from
 # `spans`.
+STORED = {kind: dict(columns) for kind, columns in KINDS.items()}
 INSTEAD = {"began": "gaps", "took": "rest"}
 STORED["invocation"] = {INSTEAD.get(name, name): kind for name, kind in KINDS["invocation"].items()}
 
