--- a/driftshed/cli.py
+++ b/driftshed/cli.py
@@ -5,6 +5,7 @@
 import click
 
 from driftshed.day.command import day
+from driftshed.proxy.command import proxy
 from driftshed.supervisor.command import supervise
 from driftshed.trace.command import trace
 
@@ -17,6 +18,7 @@
 
 main.add_command(supervise)
 main.add_command(day)
+main.add_command(proxy)
 main.add_command(trace)
 
 if __name__ == "__main__":
--- a/driftshed/day/recorder.py
+++ b/driftshed/day/recorder.py
@@ -65,6 +65,11 @@
 
         return on_connection
 
+    def asking(self, kind: str, asked: tuple[str, int]) -> Tap:
+        """A tap for the one who dials: what goes out is asked, what comes in is the answer."""
+        tap = self.open(kind, ("", 0), asked)
+        return lambda outward, data: tap(not outward, data)
+
     def close(self) -> None:
         self.file.close()
 
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -21,10 +20,8 @@
 from driftshed.net.http import HttpClient
 from driftshed.net.loop import Loop
 from driftshed.standins.client import ClientStandin
-from driftshed.standins.proxy import ProxyStandin
 from driftshed.standins.roster import RosterStandin
 from driftshed.standins.server import ServerStandin
-from driftshed.trace.writer import TraceWriter, tend_trace
 
 SETTLE = 2.5  # seconds after the last arrival, for what is under way
 WORK_PORT, ASK_PORT, CONTROL_PORT, ROSTER_PORT = 8000, 9000, 7000, 7001
@@ -78,18 +75,16 @@
     raise OSError("no free part of 127.0.0.0/8: too many days at once")
 
 
-class SupervisorProcess:
-    """`driftshed supervise` as a process of its own, at an address that it keeps when it is started anew."""
+class Process:
+    """A sub-command of `driftshed` as a process of its own, with the script's flags."""
 
-    def __init__(self, script: says.Script, host: str, logs: Path, trace: Path | None = None) -> None:
-        self.script, self.host, self.logs, self.trace = script, host, logs, trace
-        self.port, self.process, self.seed = 7100, None, 0
+    def __init__(self, script: says.Script, logs: Path, trace: Path | None) -> None:
+        self.script, self.logs, self.trace, self.operations = script, logs, trace, script.operations
+        self.process: subprocess.Popen | None = None
 
-    def start(self, seed: int) -> None:
-        self.seed = seed
-        command = [sys.executable, "-m", "driftshed.cli", "supervise", "--listen", f"{self.host}:{self.port}"]
-        command += ["--seed", str(seed), "--silence", "2", "--log-level", "debug"]
-        for text in self.script.operations:
+    def run(self, *command: str) -> None:
+        command = [sys.executable, "-m", "driftshed.cli", *command, "--log-level", "debug"]
+        for text in self.operations:
             command += ["--operation", text]
         for name, value in self.script.flags.items():
             command += [f"--{name}", str(value)]
@@ -104,7 +99,7 @@
     def await_listening(self) -> None:
         line = self.process.stdout.readline().decode()
         if not line.startswith("listening"):
-            raise RuntimeError(f"the supervisor did not start: {self.logs.read_text()[-2000:]}")
+            raise RuntimeError(f"a process did not start: {self.logs.read_text()[-2000:]}")
 
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
@@ -122,6 +117,29 @@
             self.process.stdout.close()
 
 
+class SupervisorProcess(Process):
+    """At an address that it keeps when it is started anew."""
+
+    def __init__(self, script: says.Script, host: str, logs: Path, trace: Path | None = None) -> None:
+        super().__init__(script, logs, trace)
+        self.address = f"{host}:7100"
+
+    def start(self, seed: int) -> None:
+        self.run("supervise", "--listen", self.address, "--seed", str(seed), "--silence", "2")
+
+
+class ProxyProcess(Process):
+    def __init__(self, script: says.Script, folder: Path, trace: Path | None) -> None:
+        super().__init__(script, folder / "proxies.log", trace)
+
+    def start(self, number: int, zone: str, rate: float, address: tuple[str, int], control: tuple[str, int],
+              standing: list[str], seed: int) -> None:  # fmt: skip
+        flags = [part for name in standing for part in ("--standing", name)]
+        self.run("proxy", "--listen", f"{address[0]}:{address[1]}", "--number", str(number), "--zone", zone, "--rate",
+                 f"{rate:.3f}", "--supervisor", f"{control[0]}:{control[1]}", "--source", address[0], "--seed",
+                 str(seed), *flags)  # fmt: skip
+
+
 class Stage:
     """Plays one day; `events` says what was done when, for whoever reads the verdict."""
 
@@ -139,7 +157,7 @@
         self.cold: set[str] = set()
         host = f"127.{self.net}.0"
         self.supervisor = SupervisorProcess(script, f"{host}.9", folder / "supervisor.log", trace)
-        self.trace = TraceWriter(trace, "proxies") if trace else None
+        self.trace, self.folder, self.tamper = trace, folder, tamper
         target = (f"{host}.9", 7100)
         self.control = Relay(self.loop, self.recorder, CONTROL, (f"{host}.2", CONTROL_PORT), target)
         self.roster_relay = Relay(self.loop, self.recorder, ROSTER, (f"{host}.3", ROSTER_PORT), target)
@@ -148,7 +166,7 @@
         self.servers: dict[int, ServerStandin] = {}
         self.gone: set[int] = set()
         self.successors = script.fleet.servers
-        self.proxies: list[ProxyStandin] = []
+        self.proxies: list[ProxyProcess] = []
         self.clients: list[ClientStandin] = []
 
     def _note(self, what: str, **more: object) -> None:
@@ -181,60 +199,57 @@
     def _open(self) -> None:
         script, facts, fleet = self.script, self.facts, self.script.fleet
         self.supervisor.start(self.random.getrandbits(32))
-        self.supervisor.await_listening()
+        rates = [script.traffic.uneven ** self.random.random() for _ in range(facts.proxies)]
+        rates = [rate / sum(rates) * script.traffic.rate for rate in rates]
+        for number, rate in enumerate(rates):
+            self._start_proxy(number, rate)
+        for process in (self.supervisor, *self.proxies):
+            process.await_listening()
+        # The loop has not turned yet: what they have sent so far waits in the relays' sockets.
         self.recorder.begin()
         for number in range(fleet.servers):
             self._new_server(number, cold=False)
         feeder = HttpClient(self.loop, self.roster_relay.address)
         self.roster = RosterStandin(self.loop, feeder, fleet.roster_lag)
         self.roster.begin([self._listed(number) for number in range(fleet.servers)])
-        tell = None
-        if self.trace:
-            tend_trace(self.loop, self.trace)
-            wall = time.time() - self.loop.clock()
-
-            def tell(kind: str, at: float, **fields: object) -> None:
-                self.trace.add(kind, at + wall, **fields)
-
-        rates = [script.traffic.uneven ** self.random.random() for _ in range(facts.proxies)]
-        rates = [rate / sum(rates) * script.traffic.rate for rate in rates]
         for number, rate in enumerate(rates):
-            zone = number % len(facts.zones)
-            everywhere = list(range(fleet.servers))
-            near = [n for n in everywhere if self.cast.zone_of_server(n) == zone] or everywhere
-            standing = self.random.sample(near, min(len(near), max(1, facts.standing_lines)))
             address = (self.cast.proxy_host(number), ASK_PORT)
-            self.proxies.append(
-                ProxyStandin(
-                    self.loop, number, facts.zones[zone], rate, address, self.control.address, facts,
-                    [self.cast.server(n) for n in standing], self.random.getrandbits(32),
-                    self.recorder.accepted(ASK, address), tell,
-                )  # fmt: skip
-            )
             self.clients.append(
                 ClientStandin(
                     self.loop, address, facts.operations, script.traffic.shares, script.traffic.work, rate,
                     self.random.getrandbits(32), script.traffic.repeats,
+                    lambda address=address: self.recorder.asking(ASK, address),
                 )  # fmt: skip
             )
         for trouble in script.troubles:
             act = getattr(self, f"_begin_{type(trouble).__name__.lower()}")
             self._at(trouble.at, lambda act=act, trouble=trouble: act(trouble))
 
+    def _start_proxy(self, number: int, rate: float) -> None:
+        facts, servers = self.facts, range(self.script.fleet.servers)
+        zone = number % len(facts.zones)
+        near = [n for n in servers if self.cast.zone_of_server(n) == zone] or list(servers)
+        standing = self.random.sample(near, min(len(near), max(1, facts.standing_lines)))
+        proxy = ProxyProcess(self.script, self.folder, self.trace)
+        if self.tamper == "twice":  # it sends nothing again in doubt, whatever it is told, unless it knows no better
+            proxy.operations = [text.replace("effect=side-effecting", "effect=idempotent") for text in proxy.operations]
+        proxy.start(number, facts.zones[zone], rate, (self.cast.proxy_host(number), ASK_PORT), self.control.address,
+                    [self.cast.server(n) for n in standing], self.random.getrandbits(32))  # fmt: skip
+        self.proxies.append(proxy)
+
     def _at(self, seconds: float, call: Callable[[], object]) -> None:
         self.loop.at(self.recorder.began + seconds, call)
 
     def _close(self) -> None:
-        self.supervisor.end()
         for proxy in self.proxies:
-            proxy.http.close()
+            proxy.signal(signal.SIGTERM)
+        for process in (*self.proxies, self.supervisor):
+            process.end()
         for server in self.servers.values():
             server.stop()
         self.control.close()
         self.roster_relay.close()
         self.recorder.close()
-        if self.trace:
-            self.trace.close()
         self.loop.close()
         self.lock.close()
 
--- a/driftshed/day/tamper.py
+++ b/driftshed/day/tamper.py
@@ -1,4 +1,7 @@
-"""Faults between supervisor and proxies, each made to break exactly one rule: the judge must be able to fail."""
+"""Faults between supervisor and proxies, each made to break exactly one rule: the judge must be able to fail.
+
+A proxy sends nothing again in doubt whatever its tables say, so for `twice` the stage also has the proxies take what is
+side-effecting for idempotent."""
 
 from __future__ import annotations
 
--- a/driftshed/net/http.py
+++ b/driftshed/net/http.py
@@ -194,7 +194,7 @@
 
     def __init__(
         self, loop: Loop, address: tuple[str, int], handle: Callable[[Request], object], bounds: Bounds = Bounds(),
-        refusal: Callable[[str], bytes] = lambda reason: reason.encode(),
+        refusal: Callable[[str], bytes] = lambda reason: reason.encode(), shared: bool = False,
     ) -> None:  # fmt: skip
         self.loop, self.handle, self.bounds, self.refusal = loop, handle, bounds, refusal
         self.connections: set[ServerConnection] = set()
@@ -202,7 +202,7 @@
         self.on_connection: Callable[[Stream], object] | None = None
         self.closing = False
         self.turned_away = 0
-        self.listener = Listener(loop, address, self._accept, bounds.out_bytes)
+        self.listener = Listener(loop, address, self._accept, bounds.out_bytes, shared)
         self.address = self.listener.address
 
     def _accept(self, stream: Stream) -> None:
@@ -238,15 +238,16 @@
     body: bytes
     error: str = ""
     sent: bool = False  # some byte of the request may have reached the other side
+    kept: bool = False  # it went on a connection that had been used before
 
 
 class ClientConnection:
     """One kept connection of a client, with at most one call on it."""
 
-    __slots__ = ("client", "stream", "parser", "call", "headers", "body", "status", "sent", "calls")
+    __slots__ = ("client", "stream", "parser", "call", "headers", "body", "status", "sent", "calls", "timer")
 
     def __init__(self, client: HttpClient, stream: Stream) -> None:
-        self.client, self.stream, self.call = client, stream, None
+        self.client, self.stream, self.call, self.timer = client, stream, None, None
         self.headers, self.body, self.status, self.sent, self.calls = {}, b"", 0, False, 0
         self.parser = httptools.HttpResponseParser(self)
         stream.on_data, stream.on_end, stream.on_open = self._data, self._end, self._open
@@ -281,7 +282,7 @@
         if call is None:
             return
         keep = self.parser.should_keep_alive()
-        answer = Answer(self.parser.get_status_code(), self.headers, self.body, "", True)
+        answer = Answer(self.parser.get_status_code(), self.headers, self.body, "", True, self.calls > 1)
         self.parser = httptools.HttpResponseParser(self)
         if keep and self.stream.sock is not None:
             self.client._free(self)
@@ -294,7 +295,7 @@
         self.client._lost(self)
         if call:
             error = {"ended": "closed", "malformed": "closed", "stuck": "closed"}.get(reason, reason)
-            call.done(Answer(0, {}, self.body, error, self.sent))
+            call.done(Answer(0, self.headers, self.body, error, self.sent, self.calls > 1))
 
 
 class Call:
@@ -322,8 +323,9 @@
 
     def __init__(
         self, loop: Loop, address: tuple[str, int], source: str | None = None, most_body: int = 8 << 20,
-        tap: Callable[[], Tap] | None = None, idle_most: int = 64,
+        tap: Callable[[], Tap] | None = None, idle_most: int = 64, idle_for: float = 0.0,
     ) -> None:  # fmt: skip
+        self.idle_for = idle_for  # seconds after which an idle connection is ended; 0: never
         self.loop, self.address, self.source, self.most_body = loop, address, source, most_body
         self.tap, self.idle_most = tap, idle_most
         self.idle: list[ClientConnection] = []
@@ -341,6 +343,8 @@
         call = Call(head.encode("latin-1") + b"\r\n" + body, on_done)
         if self.idle and not fresh:
             connection = self.idle.pop()
+            if connection.timer:
+                connection.timer.cancel()
         else:
             try:
                 stream = dial(self.loop, self.address, self.source, tap=self.tap() if self.tap else None)
@@ -357,11 +361,15 @@
     def _free(self, connection: ClientConnection) -> None:
         if len(self.idle) < self.idle_most:
             self.idle.append(connection)
+            if self.idle_for:
+                connection.timer = self.loop.after(self.idle_for, lambda: connection.stream.abort("idle"))
         else:
             connection.stream.abort("ended")
 
     def _lost(self, connection: ClientConnection) -> None:
         self.all.discard(connection)
+        if connection.timer:
+            connection.timer.cancel()
         if connection in self.idle:
             self.idle.remove(connection)
 
--- a/driftshed/net/stream.py
+++ b/driftshed/net/stream.py
@@ -10,6 +10,7 @@
 
 CHUNK = 65536  # bytes read at a time
 BACKLOG = 4096  # connections that the kernel holds for us
+AGAIN = 0.1  # seconds after which one that ran out of descriptors accepts again
 
 # Called as tap(outward, data) with what passes on a stream's socket, and with b"" at its end.
 Tap = Callable[[bool, bytes], object]
@@ -150,11 +151,14 @@
     """Accepts connections at one address and hands each to `on_stream(stream)`."""
 
     def __init__(
-        self, loop: Loop, address: tuple[str, int], on_stream: Callable[[Stream], object], most_out: int = 1 << 20
-    ) -> None:
+        self, loop: Loop, address: tuple[str, int], on_stream: Callable[[Stream], object], most_out: int = 1 << 20,
+        shared: bool = False,
+    ) -> None:  # fmt: skip
         self.loop, self.on_stream, self.most_out = loop, on_stream, most_out
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:  # several processes listen at one address, and the kernel deals connections out
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         try:
             self.sock.bind(address)
         except OSError:
@@ -173,12 +177,20 @@
                 sock, _peer = self.sock.accept()
             except (BlockingIOError, InterruptedError):
                 return
-            except OSError:  # out of descriptors, or gone again: the next round tries once more
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    # Guards against spinning while there are no descriptors left: those that wait stay in the kernel.
+                    self.loop.watch(self.sock, 0, None)
+                    self.loop.after(AGAIN, self._resume)
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.on_stream(Stream(self.loop, sock, self.most_out))
 
+    def _resume(self) -> None:
+        if self.sock is not None:
+            self.loop.watch(self.sock, READ, self._accept)
+
     def close(self) -> None:
         if self.sock is not None:
             sock, self.sock = self.sock, None
--- /dev/null
+++ b/driftshed/proxy/command.py
@@ -0,0 +1,105 @@
+"""`driftshed proxy`: one proxy as a process."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+import click
+
+from driftshed.core.messages import BadName, server_id
+from driftshed.net.http import Bounds
+from driftshed.net.loop import Loop
+from driftshed.proxy.follow import Follower, Sums
+from driftshed.proxy.forward import Forwarder, Limits
+from driftshed.proxy.tables import Tables
+from driftshed.supervisor.flags import fact_options, option, start_facts
+from driftshed.supervisor.logs import LEVELS, make_log
+from driftshed.trace.writer import TraceWriter, tend_trace
+
+
+def addresses(texts: tuple[str, ...], flag: str) -> list[tuple[str, int]]:
+    """"address:port"s; click.BadParameter names the flag."""
+    found = []
+    for text in texts:
+        try:
+            server_id(text)
+        except BadName as error:
+            raise click.BadParameter(f"{error}; such as 127.0.0.1:7000", param_hint=f"--{flag}") from None
+        host, _, port = text.rpartition(":")
+        if not host.startswith("127."):
+            raise click.BadParameter(f"{host!r}: loopback alone; take an address of 127.", param_hint=f"--{flag}")
+        found.append((host, int(port)))
+    return found
+
+
+@click.command()
+@option("listen", type=click.STRING, default="127.0.0.1:8080", help="address:port for clients")
+@option("shared", is_flag=True, help="several proxies may listen at this address (SO_REUSEPORT)")
+@option("number", type=click.IntRange(0, 65535), required=True, help="this proxy's number, its own at all supervisors")
+@option("zone", type=click.STRING, required=True, help="the zone that it is in, one of --zones")
+@option("rate", type=click.FloatRange(0, 1e9), default=10.0, help="invocations a second that usually come")
+@option("supervisor", "follows", multiple=True, required=True, help="address:port; several in the order of choice")
+@option("standing", multiple=True, help="address:port of a server to start with; several")
+@option("source", type=click.STRING, default=None, help="address that connections are made from")
+@option("seed", type=click.IntRange(0, 2**63 - 1), default=1, help="of this proxy's chance")
+@option("clients", type=click.IntRange(1, 100000), default=8192, help="connections of clients")
+@option("invocations", type=click.IntRange(1, 1000000), default=10000, help="under way at the most")
+@option("body-bytes", type=click.IntRange(1, 1 << 28), default=1 << 20, help="the largest body taken")
+@option("server-connections", type=click.IntRange(1, 10000), default=64, help="to one server")
+@option("connecting", type=click.IntRange(1, 10000), default=8, help="connects to one server under way")
+@option("trace", type=click.Path(file_okay=False, path_type=Path), help="record invocations in this folder")
+@option("log-form", type=click.Choice(["json", "console"]), default="json", help="how logs are written")
+@option("log-level", type=click.Choice(list(LEVELS)), default="info", help="the least that is logged")
+@fact_options
+def proxy(
+    listen: str, shared: bool, number: int, zone: str, rate: float, follows: tuple[str, ...],
+    standing: tuple[str, ...], source: str | None, seed: int, clients: int, invocations: int, body_bytes: int,
+    server_connections: int, connecting: int, trace: Path | None, log_form: str, log_level: str, **given: object,
+) -> None:  # fmt: skip
+    """Forwards clients' invocations to servers as supervisors say. Its first line says where it listens."""
+    facts = start_facts(given)
+    if zone not in facts.zones:
+        raise click.BadParameter(f"{zone!r}: one of {', '.join(facts.zones)}", param_hint="--zone")
+    (address,) = addresses((listen,), "listen")
+    log = make_log(log_form, log_level)
+    loop, random = Loop(), Random(seed)
+    loop.on_error = lambda error: log("fault", level="error", error=f"{type(error).__name__}: {error}")
+    addresses(standing, "standing")
+    tables = Tables(len(facts.operations), facts.pick, facts.level_form, facts.default_tries, list(standing), random)
+    sums = Sums([operation.name for operation in facts.operations])
+    limits = Limits(invocations, server_connections, connecting, 0.8 * facts.idle_close, facts.connect_timeout)
+    bounds = Bounds(body_bytes=body_bytes, connections=clients)
+    try:
+        forwarder = Forwarder(loop, address, number, facts, tables, sums, limits, bounds, source, shared)
+    except OSError as error:
+        raise click.BadParameter(f"{listen}: {error.strerror}; take a free port", param_hint="--listen") from None
+    follower = Follower(
+        loop, number, zone, rate, addresses(follows, "supervisor"), tables, sums, random, log, source,
+        facts.report_period,
+    )  # fmt: skip
+    follower.on_tables = forwarder.follow
+    writer = None
+    if trace is not None:
+        writer, wall = TraceWriter(trace, f"proxy-{number}"), time.time() - loop.clock()
+        tend_trace(loop, writer, log)
+        forwarder.trace = lambda kind, at, **fields: writer.add(kind, at + wall, **fields)
+        follower.message = lambda at, name, sent: writer.add("message", at + wall, id=name, sent=int(sent))
+
+    def stop(signal_number: int) -> None:
+        log("stopping", signal=signal.Signals(signal_number).name, under_way=forwarder.under_way)
+        follower.leave()
+        forwarder.stop(loop.stop, max(operation.integration_timeout for operation in facts.operations))
+
+    loop.on_signals((signal.SIGTERM, signal.SIGINT), stop)
+    log("listening", address=f"{forwarder.address[0]}:{forwarder.address[1]}", number=number)
+    print(f"listening {forwarder.address[0]}:{forwarder.address[1]}", flush=True)
+    loop.run()
+    loop.close()
+    if writer is not None:
+        writer.close(1.0)
+    log("stopped", **{"counts": forwarder.counts, "reports_dropped": sums.dropped})
+    sys.stderr.flush()
--- /dev/null
+++ b/driftshed/proxy/follow.py
@@ -0,0 +1,177 @@
+"""Following supervisors: joining one, polling, acknowledging, reporting; another one when it is away."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from driftshed.core.messages import Changes, Join, JoinAnswer, OperationReport, Report, ServerReport, encode
+from driftshed.net.http import Answer, HttpClient
+from driftshed.net.loop import Loop
+from driftshed.proxy.tables import Tables, TurnedDown
+
+CHANGES, JOINED = msgspec.json.Decoder(Changes), msgspec.json.Decoder(JoinAnswer)
+POLL, GRACE, JOIN_WITHIN = 10.0, 2.0, 2.0  # seconds: a poll waits, its answer may be late, a join takes at most
+AGAIN, AGAIN_MOST = 0.1, 2.0  # seconds before dialling again: doubling, each drawn up to double
+KEPT_REPORTS = 20  # periods whose sums are kept while nobody listens
+MOST_SERVERS = 4096  # in one report
+
+Log = Callable[..., object]
+
+
+class Sums:
+    """What was met and what came since the last report. Bounded: with nobody to tell for long, all of it is dropped and
+    counted."""
+
+    def __init__(self, operations: list[str]) -> None:
+        self.operations, self.periods, self.dropped = operations, 0, 0
+        self._empty()
+
+    def _empty(self) -> None:
+        self.met: dict[str, list] = {}  # tries, errored, seconds of the good, load
+        self.came = [[0, 0] for _ in self.operations]
+
+    def tried(self, server: str, took: float | None, load: list[float] | None) -> None:
+        """One try; `took`: seconds, None without a good answer."""
+        row = self.met.get(server)
+        if row is None:
+            if len(self.met) >= MOST_SERVERS:
+                self.dropped += 1
+                return
+            row = self.met[server] = [0, 0, 0.0, None]
+        row[0] += 1
+        row[1] += took is None
+        row[2] += took or 0.0
+        row[3] = load or row[3]
+
+    def take(self, stream: str) -> Report:
+        met = [
+            ServerReport(name, tries, errored, took / (tries - errored) if tries > errored else None, load)
+            for name, (tries, errored, took, load) in self.met.items()
+        ]
+        came = [OperationReport(name, *row) for name, row in zip(self.operations, self.came, strict=True)]
+        self._empty()
+        self.periods = 0
+        return Report(stream, met, came)
+
+    def keep(self) -> int:
+        """Nobody listened this period; how many tries were dropped for it."""
+        self.periods += 1
+        if self.periods < KEPT_REPORTS:
+            return 0
+        lost = sum(row[0] for row in self.met.values())
+        self.dropped += lost
+        self._empty()
+        self.periods = 0
+        return lost
+
+
+class Follower:
+    """Keeps `tables` as the supervisors say. `on_tables()` after each change; `message(at, name, sent)` for a trace."""
+
+    def __init__(
+        self, loop: Loop, number: int, zone: str, rate: float, supervisors: list[tuple[str, int]], tables: Tables,
+        sums: Sums, random: Random, log: Log, source: str | None = None, period: float = 0.5,
+    ) -> None:  # fmt: skip
+        self.loop, self.number, self.zone, self.rate = loop, number, zone, rate
+        self.addresses, self.tables, self.sums, self.random, self.log = supervisors, tables, sums, random, log
+        self.source, self.period = source, period
+        self.on_tables: Callable[[], object] = lambda: None
+        self.message: Callable[[float, str, bool], object] | None = None
+        self.at, self.failed, self.stream, self.turned_down, self.stopped = 0, 0, "", 0, False
+        self.joined_at: float | None = None
+        self._dial()
+        loop.after(period * random.random(), self._report)
+
+    def _dial(self) -> None:
+        if self.stopped:
+            return
+        address = self.addresses[self.at]
+        self.control = HttpClient(self.loop, address, self.source, idle_most=1)
+        self.reports = HttpClient(self.loop, address, self.source, idle_most=1)
+        fresh = self.tables.run is None
+        join = Join(self.zone, self.rate, fresh, self.tables.run, self.tables.version)
+        path = f"/v1/proxies/{self.number}/join"
+        self.control.call("POST", path, encode(join), self._joined, JOIN_WITHIN)
+
+    def _again(self, why: str) -> None:
+        """Dials again after a while: another supervisor if there is one, since this one did not answer."""
+        if self.stopped:
+            return
+        if self.stream:
+            self.log("stream_ended", why=why)
+        self.stream = ""
+        self.control.close()
+        self.reports.close()
+        wait = min(AGAIN_MOST, AGAIN * 2**self.failed) * self.random.uniform(1, 2)
+        self.failed += 1
+        if self.failed > 1:
+            self.at = (self.at + 1) % len(self.addresses)
+        self.loop.after(wait, self._dial)
+
+    def _joined(self, answer: Answer) -> None:
+        if answer.status == 409:
+            self.tables.run, self.tables.version = None, 0  # what it holds is not known there
+        if answer.status != 200:
+            self._again(answer.error or f"join: {answer.status}")
+            return
+        try:
+            joined = JOINED.decode(answer.body)
+        except msgspec.DecodeError as error:
+            self._again(f"join: {error}")
+            return
+        if joined.run != self.tables.run:
+            self.tables.run, self.tables.version = joined.run, joined.version
+        self.stream, self.joined_at = joined.stream, self.loop.now
+        self.log("joined", run=joined.run, version=joined.version)
+        self._poll()
+
+    def _poll(self) -> None:
+        version = self.tables.version
+        if self.message:
+            self.message(self.loop.clock(), f"{self.stream}/{version}/applied", True)
+        path = f"/v1/proxies/{self.number}/changes?stream={self.stream}&after={version}&wait={POLL}"
+        self.control.call("GET", path, b"", self._told, POLL + GRACE)
+
+    def _told(self, answer: Answer) -> None:
+        if answer.status != 200:
+            self._again(answer.error or f"poll: {answer.status}")
+            return
+        try:
+            changes = CHANGES.decode(answer.body)
+            if changes.version != self.tables.version or changes.changes:
+                self.tables.take(changes, self.loop.now)
+        except (msgspec.DecodeError, TurnedDown) as error:
+            # Guards against a table that cannot be: the last good one is held, and the whole asked for anew.
+            self.turned_down += 1
+            self.log("turned_down", level="warning", why=str(error))
+            self.tables.run, self.tables.version = None, 0
+            self._again("its tables were turned down")
+            return
+        self.failed = 0
+        if changes.changes:
+            if self.message:
+                self.message(self.loop.clock(), f"{self.stream}/{changes.version}/told", False)
+            self.on_tables()
+        self._poll()
+
+    def _report(self) -> None:
+        if self.stopped:
+            return
+        self.loop.after(self.period, self._report)
+        if not self.stream:
+            lost = self.sums.keep()
+            if lost:
+                self.log("reports_dropped", level="warning", tries=lost, in_all=self.sums.dropped)
+            return
+        body = encode(self.sums.take(self.stream))
+        self.reports.call("POST", f"/v1/proxies/{self.number}/report", body, lambda answer: None, GRACE)
+
+    def leave(self) -> None:
+        """Says goodbye, and follows no more."""
+        self.stopped = True
+        if self.stream:
+            path = f"/v1/proxies/{self.number}/leave?stream={self.stream}"
+            self.reports.call("POST", path, b"", lambda answer: None, 0.5)
--- a/driftshed/standins/client.py
+++ b/driftshed/standins/client.py
@@ -17,12 +17,12 @@
 
     def __init__(
         self, loop: Loop, proxy: tuple[str, int], operations: tuple[face.Operation, ...], shares: list[float],
-        work: list[tuple[float, float]], rate: float, seed: int, repeats: bool = True,
+        work: list[tuple[float, float]], rate: float, seed: int, repeats: bool = True, tap=None,
     ) -> None:  # fmt: skip
         self.loop, self.operations, self.shares, self.work, self.rate = loop, operations, shares, work, rate
         self.random, self.repeats, self.surge, self.asked, self.open = Random(seed), repeats, 1.0, 0, True
         self.name = f"{proxy[0]}"
-        self.client = HttpClient(loop, proxy, idle_most=256)
+        self.client = HttpClient(loop, proxy, idle_most=256, tap=tap)
         self._next()
 
     def _next(self) -> None:
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,591 @@
+"""The proxy: picks by statistics, retries by a model of all that can happen, limits, tables, and the process's parts on
+real sockets."""
+
+import itertools
+import socket
+import time
+from collections import Counter
+from random import Random
+
+import msgspec
+import pytest
+
+from driftshed import interface as face
+from driftshed.core.messages import Changes, In, Level, Line, Out, Use
+from driftshed.net.http import Bounds, HttpClient, HttpServer
+from driftshed.net.loop import Loop
+from driftshed.net.stream import Listener
+from driftshed.proxy.follow import KEPT_REPORTS, Follower, Sums
+from driftshed.proxy.forward import Forwarder, Limits
+from driftshed.proxy.limits import BURST, Gate
+from driftshed.proxy.pick import PICKS, Weights
+from driftshed.proxy.retry import FURTHER, Outcome, Proof, Rules, Tried, may_follow, may_take, proves, time_for
+from driftshed.proxy.tables import Tables, TurnedDown
+from driftshed.supervisor.flags import FLAGS, read_operation, start_facts
+from tests.test_net import Raw, until
+from tests.test_service import Rig
+
+# ---- picks ----------------------------------------------------------------------------------------------------------
+
+PICKED = 200_000
+
+
+def chi_square(counts: Counter, weights: dict[str, float]) -> float:
+    total, picked = sum(weights.values()), sum(counts.values())
+    return sum((counts[n] - picked * w / total) ** 2 / (picked * w / total) for n, w in weights.items())
+
+
+def bound(lines: int) -> float:
+    """What chi-square stays under in all but about one of a million draws (Wilson and Hilferty)."""
+    free = lines - 1
+    return free * (1 - 2 / (9 * free) + 4.75 * (2 / (9 * free)) ** 0.5) ** 3
+
+
+@pytest.mark.parametrize("kind", sorted(PICKS))
+def test_the_spread_is_that_of_the_weights(kind):
+    random, weights = Random(1), Weights()
+    lines = {f"s{n}": random.uniform(0.5, 2) for n in range(118)}
+    for name, weight in lines.items():
+        weights.set(name, weight)
+    picker = PICKS[kind](weights, random)
+    counts = Counter(picker.pick([], {}) for _ in range(PICKED))
+    assert set(counts) == set(lines) and chi_square(counts, lines) < bound(118)
+    apart = sum(abs(counts[n] / PICKED - w / sum(lines.values())) for n, w in lines.items()) / 2
+    assert apart < 0.02
+
+
+@pytest.mark.parametrize("kind", sorted(PICKS))
+def test_the_spread_is_that_of_the_weights_after_a_thousand_changes(kind):
+    random, weights = Random(2), Weights()
+    picker, lines = PICKS[kind](weights, random), {}
+    for _ in range(1000):
+        name = f"s{random.randrange(140)}"
+        weight = random.choice([0.0, random.uniform(0.2, 3)])
+        weights.set(name, weight)
+        picker.changed(name)
+        lines[name] = weight
+        if random.random() < 0.2:
+            picker.pick([], {})
+        assert abs(weights.total * Weights.UNIT - sum(lines.values())) < 1e-6
+    lines = {name: weight for name, weight in lines.items() if weight}
+    counts = Counter(picker.pick([], {}) for _ in range(PICKED))
+    assert set(counts) <= set(lines) and chi_square(counts, lines) < bound(len(lines))
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_draw_leaves_out_what_is_named_and_keeps_the_proportions_of_the_rest(seed):
+    random, weights = Random(seed), Weights()
+    lines = {f"s{n}": random.uniform(0.5, 2) for n in range(20)}
+    for name, weight in lines.items():
+        weights.set(name, weight)
+    but = random.sample(sorted(lines), random.randrange(1, 19))
+    rest = {name: weight for name, weight in lines.items() if name not in but}
+    counts = Counter(weights.draw_but(random, but) for _ in range(20000))
+    assert set(counts) <= set(rest) and (len(rest) < 2 or chi_square(counts, rest) < bound(len(rest)))
+    assert weights.draw_but(random, list(lines)) is None and Weights().draw(random) is None
+
+
+def test_two_takes_the_one_with_less_out():
+    weights = Weights()
+    for name in "ab":
+        weights.set(name, 1.0)
+    picker = PICKS["two"](weights, Random(1))
+    counts = Counter(picker.pick([], {"a": 5}) for _ in range(4000))
+    assert 0.22 < counts["a"] / 4000 < 0.28  # only where both draws are a
+
+
+def test_a_pick_and_a_change_cost_no_more_than_a_path_of_the_tree():
+    class Counted(list):
+        reads = 0
+
+        def __getitem__(self, place):
+            Counted.reads += 1
+            return super().__getitem__(place)
+
+    for size in (16, 118, 4096):
+        weights = Weights()
+        for n in range(size):
+            weights.set(f"s{n}", 1.0 + n % 7)
+        weights.tree, Counted.reads = Counted(weights.tree), 0
+        weights.draw(Random(1))
+        weights.set("s3", 9.0)
+        assert Counted.reads <= 3 * size.bit_length()
+
+
+# ---- retries --------------------------------------------------------------------------------------------------------
+
+# What a server may have done where a try came out so: ran it or not.
+TRUTH = {
+    Outcome.ANSWERED: (True,), Outcome.UNSENT: (False,), Outcome.NEVER_RAN: (False,), Outcome.PARTIAL: (True,),
+    Outcome.CLOSED_IDLE: (True, False), Outcome.CLOSED: (True, False), Outcome.FULL: (True, False),
+    Outcome.ERRORED: (True, False), Outcome.LATE: (True, False),
+}  # fmt: skip
+WINDOW, MARGIN = 1.0, 0.1
+
+
+def test_no_sequence_of_outcomes_leads_to_a_second_effect():
+    """Every interleaving of up to three tries: outcome, what the server truly did, how long each took, and for a
+    fingerprinted one whether the server still knows it."""
+    states = repeats = 0
+    spans = (0.0, 0.3, 0.85, 0.95, 1.2)
+    for effect, mode, full in itertools.product(("idempotent", "fingerprinted", "side-effecting"), range(4), (0, 1)):
+        rules = Rules(effect, WINDOW if effect == "fingerprinted" else None, "all", bool(full), MARGIN)
+        truth = TRUTH | ({Outcome.NEVER_RAN: (True, False)} if full else {})
+        frontier = [((), 0.0, ())]  # tries, now, effects: when a server took effect
+        while frontier:
+            tried, now, ran = frontier.pop()
+            states += 1
+            if tried and not may_follow(rules, mode, list(tried), now):
+                continue
+            assert len(tried) <= FURTHER[mode]
+            repeats += bool(tried)
+            for outcome, span in itertools.product(Outcome, spans):
+                for took_effect in truth[outcome]:
+                    effects = ran
+                    if took_effect:
+                        # It reaches its server within the margin; that drops what it knows from within the window.
+                        arrives = now + min(span, MARGIN)
+                        doubtful = [t.began for t in tried if proves(t.outcome, rules.full_may_have_run) is Proof.NONE]
+                        known = effect == "fingerprinted" and ran and arrives < doubtful[0] + WINDOW
+                        assert effect == "idempotent" or not ran or known, (rules, mode, tried, outcome)
+                        effects = (*ran, arrives) if not known else ran
+                    begun = Tried(f"s{len(tried)}", "", -1, now, outcome)
+                    frontier.append(((*tried, begun), now + span, effects))
+    assert repeats > 1000 and states == 900_044
+
+
+def test_the_proof_table_says_each_outcome():
+    sure = {outcome for outcome in Outcome if proves(outcome, False) is Proof.SURE}
+    assert sure == {Outcome.UNSENT, Outcome.NEVER_RAN}
+    assert {outcome for outcome in Outcome if proves(outcome, True) is Proof.SURE} == {Outcome.UNSENT}
+
+
+def test_a_fingerprinted_invocation_in_doubt_goes_where_its_mark_is_known():
+    tried = [Tried("a", "east", 1, 0.0, Outcome.CLOSED)]
+    for scope, zone, cell, allowed in (
+        ("all", "west", 9, True), ("zone", "east", 9, True), ("zone", "west", 1, False), ("cell", "east", 1, True),
+        ("cell", "east", 2, False), ("zone", "", -1, False),
+    ):  # fmt: skip
+        rules = Rules("fingerprinted", 1.0, scope, False, 0.1)
+        assert may_take(rules, tried, "b", zone, cell) is allowed
+        assert not may_take(rules, tried, "a", zone, cell)  # never the same server
+    sure = [Tried("a", "east", 1, 0.0, Outcome.UNSENT)]
+    assert may_take(Rules("fingerprinted", 1.0, "cell", False, 0.1), sure, "b", "west", 3)
+
+
+def test_a_try_waits_the_objectives_only_where_another_may_follow():
+    assert time_for(0.0, 2.0, 0.5, face.ONE_AFTER_PROOF, 0, 1.0) == 2.0
+    assert time_for(0.0, 2.0, 0.5, face.ONE_AFTER_ANY, 0, 1.0) == 0.5
+    assert time_for(0.6, 2.0, 0.5, face.ONE_AFTER_ANY, 1, 1.0) == 1.4
+    assert time_for(1.8, 2.0, 0.5, face.TWO_AFTER_ANY, 1, 1.0) == pytest.approx(0.2)
+
+
+# ---- limits and tables ----------------------------------------------------------------------------------------------
+
+
+def test_a_gate_lets_in_its_share_and_its_rate():
+    share = Gate("share", Random(1))
+    share.set(0.3, 0.0)
+    assert abs(sum(share.admits(0.0) for _ in range(20000)) / 20000 - 0.3) < 0.015
+    rate = Gate("rate", Random(1))
+    rate.set(20.0, 0.0)
+    let_in = [now for now in (k / 1000 for k in range(10_000)) if rate.admits(now)]
+    assert 20 * 10 - 1 <= len(let_in) <= 20 * (10 + BURST) + 1
+    rate.set(0.0, 10.0)
+    assert not rate.admits(20.0) and Gate("off", Random(1)).admits(0.0)
+
+
+def changes(since: int, version: int, *rows, whole: bool = False, run: str = "r") -> Changes:
+    return Changes(run, since, version, whole, list(rows))
+
+
+def tables(standing=(), pick: str = "weighted") -> Tables:
+    made = Tables(2, pick, "share", 0, list(standing), Random(1))
+    made.run = "r"
+    return made
+
+
+A, B, C = "127.0.0.1:81", "127.0.0.1:82", "127.0.0.1:83"
+
+
+def test_tables_follow_line_by_line_and_heed_what_is_out():
+    held = tables(standing=[C])
+    assert held.pick(0, [], {}) == C and held.tries_of(0) == 0
+    held.take(changes(0, 1, Use(0, 0), Use(1, 1), Line(0, A, 1.0), Line(0, B, 1.0), Line(1, B, 1.0), whole=True), 0.0)
+    assert {held.pick(0, [], {}) for _ in range(50)} == {A, B} and held.pick(1, [], {}) == B
+    held.take(changes(1, 2, Out(B), Level(0, 0, 0.5, 1)), 0.0)
+    assert {held.pick(0, [], {}) for _ in range(20)} == {A} and held.pick(1, [], {}) is None
+    assert held.gates[0].level == 0.5 and held.tries_of(0) == 1 and held.servers() == {A}
+    held.take(changes(2, 3, In(B), Line(0, A, 0.0), Level(face.EVERY_TABLE, 0, 0.2, 0)), 0.0)
+    assert {held.pick(0, [], {}) for _ in range(20)} == {B} and held.gates[0].level == 0.2
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        changes(0, 2, Line(0, A, 1.0)), changes(1, 2, Line(0, A, float("nan"))),
+        changes(1, 2, Line(0, A, float("inf"))),
+        changes(1, 2, Line(0, A, -1.0)), changes(1, 2, Line(0, "nowhere", 1.0)), changes(1, 2, Level(0, 9, 1.0, 1)),
+        changes(1, 2, Level(0, 0, float("nan"), 1)), changes(1, 2, Use(7, 0)), changes(1, 0, Line(0, A, 1.0)),
+        changes(1, 2, Line(0, B, 2.0), Line(0, A, -1.0)), changes(1, 2, Line(0, A, 2.0), run="other"),
+        changes(1, 5, Use(0, 3), whole=True),
+    ],
+)  # fmt: skip
+def test_what_cannot_be_is_turned_down_and_the_last_good_tables_are_kept(bad):
+    held = tables()
+    held.take(changes(0, 1, Use(0, 0), Line(0, A, 1.0), Line(0, B, 1.0), whole=True), 0.0)
+    before = dict(held.held)
+    with pytest.raises(TurnedDown):
+        held.take(bad, 0.0)
+    assert held.held == before and held.version == 1
+    assert {held.pick(0, [], {}) for _ in range(40)} == {A, B}
+
+
+# ---- on sockets -----------------------------------------------------------------------------------------------------
+
+
+def make_facts(tries: int = 1, full: bool = False, **more) -> face.StartFacts:
+    given = {flag.fact: flag.kind.convert(flag.default, None, None) for flag in FLAGS}
+    given |= {"default_tries": tries, "full_may_have_run": full, **more}
+    given["operations"] = tuple(read_operation(text) for text in (
+        "look:objective=0.3,timeout=1.0,value=1,effect=idempotent",
+        "mark:objective=0.3,timeout=1.0,value=2,effect=fingerprinted,window=2.0",
+        "post:objective=0.3,timeout=1.0,value=3,effect=side-effecting",
+    ))  # fmt: skip
+    return start_facts(given)
+
+
+class Field:
+    """Servers that do as told, a proxy in front of them, and clients."""
+
+    def __init__(self, servers: int = 2, tries: int = 1, limits: Limits = Limits(), full: bool = False, **more) -> None:
+        self.loop, self.asked = Loop(), []
+        self.servers = [HttpServer(self.loop, ("127.0.0.1", 0), self._serve) for _ in range(servers)]
+        self.how = ["well"] * servers
+        names = [f"127.0.0.1:{server.address[1]}" for server in self.servers]
+        self.names, facts = names, make_facts(tries, full)
+        self.tables = Tables(3, "weighted", "share", tries, names, Random(1))
+        self.forwarder = Forwarder(self.loop, ("127.0.0.1", 0), 5, facts, self.tables, Sums(["look", "mark", "post"]),
+                                   limits, **more)  # fmt: skip
+        self.client = HttpClient(self.loop, self.forwarder.address)
+
+    def _serve(self, request) -> None:
+        place = next(k for k, server in enumerate(self.servers) if request.connection.server is server)
+        self.asked.append((place, request))
+        how = self.how[place]
+        if how == "well":
+            request.answer(200, b"from %d " % place + request.body, "text/plain", "x-own: 1\r\n")
+        elif how == "full":
+            request.answer(503)
+        elif how == "never":
+            request.answer(503, extra="x-never-ran: 1\r\n")
+        elif how == "errs":
+            request.answer(500)
+        elif how == "closes":
+            request.connection.stream.abort("closed")
+        elif how == "partial":
+            request.connection.stream.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf")
+            request.connection.stream.finish()
+
+    def ask(self, operation: str = "look", body: bytes = b"", headers: str = "", within: float = 8.0) -> list:
+        answers: list = []
+        self.client.call("POST", f"/do/{operation}", body, answers.append, within, headers)
+        return answers
+
+    def get(self, *args, **more):
+        answers = self.ask(*args, **more)
+        until(self.loop, lambda: answers)
+        return answers[0]
+
+    def close(self) -> None:
+        self.forwarder.http.close()
+        for server in self.servers:
+            server.close()
+        self.loop.close()
+
+
+@pytest.fixture
+def field():
+    field = Field()
+    yield field
+    field.close()
+
+
+def test_an_invocation_goes_through_with_its_headers_and_without_those_of_the_connection(field):
+    answer = field.get("look", b"hello", "x-mine: 7\r\nconnection: keep-alive, x-drop\r\nx-drop: 1\r\nte: trailers\r\n")
+    assert answer.status == 200 and answer.body.endswith(b"hello") and answer.headers[b"x-own"] == b"1"
+    headers = field.asked[0][1].headers
+    assert headers[b"x-mine"] == b"7" and not {b"x-drop", b"te"} & set(headers)
+    assert 0 < float(headers[b"x-timeout"]) <= 1.0
+
+
+@pytest.mark.parametrize(
+    ("operation", "how", "tries", "full", "sends"),
+    [
+        ("look", "never", 1, False, 2), ("mark", "never", 1, False, 2), ("post", "never", 1, False, 2),
+        ("post", "never", 1, True, 1), ("look", "full", 1, False, 1), ("post", "full", 1, False, 1),
+        ("look", "full", 2, False, 2), ("mark", "full", 2, False, 2), ("post", "full", 2, False, 1),
+        ("look", "errs", 2, False, 2), ("post", "errs", 3, False, 1), ("post", "closes", 3, False, 1),
+        ("mark", "closes", 2, False, 2), ("post", "partial", 3, False, 1), ("look", "partial", 2, False, 2),
+        ("post", "silent", 3, False, 1), ("look", "silent", 2, False, 2), ("look", "never", 0, False, 1),
+        ("look", "errs", 3, False, 3),
+    ],
+)  # fmt: skip
+def test_another_try_is_made_only_as_mode_and_proof_allow(operation, how, tries, full, sends):
+    field = Field(servers=3, tries=tries, full=full)
+    field.how = [how] * 3
+    answer = field.get(operation)
+    assert len(field.asked) == sends and len({place for place, _ in field.asked}) == sends
+    never = how == "never" and not full
+    assert answer.status == (503 if never else 504 if how == "silent" else 502)
+    assert (answer.headers.get(b"x-never-ran") == b"1") is never
+    if operation == "mark" and sends == 2:
+        marks = [request.headers[b"idempotency-key"] for _, request in field.asked]
+        assert marks[0] == marks[1]
+    field.close()
+
+
+def test_a_server_that_is_not_there_is_proof_and_the_next_one_gets_it(field):
+    field.servers[0].close()
+    answers = [field.get("post") for _ in range(12)]
+    assert all(answer.status == 200 and answer.body == b"from 1 " for answer in answers)
+    assert field.forwarder.sums.met[field.names[0]][1] >= 1
+
+
+def test_a_connection_closed_while_idle_is_no_proof_for_what_is_side_effecting():
+    # The classic race: the server ends a kept connection just when a request is written on it.
+    field = Field(servers=2, tries=1)
+    for _ in range(12):
+        assert field.get("post").status == 200
+    assert all(len(server.connections) == 1 for server in field.servers)  # both are kept
+    field.how = ["closes", "closes"]
+    field.asked.clear()
+    answer = field.get("post")
+    assert answer.status == 502 and b"x-never-ran" not in answer.headers and len(field.asked) == 1
+    field.close()
+
+
+def test_the_integration_timeout_holds_across_all_tries_and_the_answer_is_due_before(field):
+    field.how = ["silent", "silent"]
+    began = time.monotonic()
+    answer = field.get("look", headers="x-timeout: 0.4\r\n")
+    assert answer.status == 504 and 0.3 < time.monotonic() - began < 3.0
+    assert all(float(request.headers[b"x-timeout"]) <= 0.4 for _, request in field.asked)
+    assert field.get("look", headers="x-timeout: soon\r\n").status == 400
+
+
+def test_nothing_to_pick_is_refused_at_once_with_a_time_to_come_back(field):
+    field.tables.run = "r"
+    field.tables.take(changes(0, 1, Use(0, 0), Line(0, A, 1.0), Out(A), whole=True), 0.0)
+    answer = field.get("look")
+    assert (answer.status, answer.headers[b"x-reason"], answer.headers[b"retry-after"]) == (503, b"bare", b"1")
+    assert field.get("unknown").status == 404
+    field.tables.gates[2].set(0.0, 0.0)
+    assert field.get("post").headers[b"x-reason"] == b"level"
+
+
+def test_a_drain_lets_what_is_out_end_and_begins_nothing_more(field):
+    field.how = ["hold", "hold"]
+    answers = [field.ask("look") for _ in range(6)]
+    until(field.loop, lambda: len(field.asked) == 6)
+    gone = field.asked[0][0]
+    field.tables.run = "r"
+    field.tables.take(changes(0, 1, Use(0, 0), Line(0, field.names[1 - gone], 1.0), whole=True), 0.0)
+    field.forwarder.follow()
+    for _, request in list(field.asked):
+        request.answer(200)
+    until(field.loop, lambda: all(answers))
+    assert all(answer[0].status == 200 for answer in answers)
+    until(field.loop, lambda: not field.servers[gone].connections)
+    field.how = ["well", "well"]
+    assert {field.get("look").body for _ in range(10)} == {b"from %d " % (1 - gone)}
+
+
+def test_connections_to_one_server_are_capped_and_the_rest_refused():
+    field = Field(servers=1, limits=Limits(connections=3, connecting=2))
+    field.how = ["hold"]
+    answers = [field.ask("look") for _ in range(10)]
+    until(field.loop, lambda: sum(map(bool, answers)) >= 7)
+    assert len(field.servers[0].connections) <= 3
+    assert all(answer[0].status == 503 and answer[0].headers[b"x-never-ran"] == b"1" for answer in answers if answer)
+    field.close()
+
+
+def test_a_client_that_goes_takes_its_try_with_it(field):
+    field.how = ["hold", "hold"]
+    field.ask("look", within=0.1)
+    until(field.loop, lambda: field.asked)
+    until(field.loop, lambda: not field.forwarder.under_way)
+    until(field.loop, lambda: not field.asked[0][1].connection.server.connections)
+    assert not field.forwarder.out
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"POST /do/look HTTP/1.1\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /do/look HTTP/1.1\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nhello",
+        b"POST /do/look HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
+        b"POST /do/look HTTP/1.1\r\nx-a: 1\r\n folded\r\ncontent-length: 0\r\n\r\n",
+        b"POST /do/look HTTP/1.1\r\ncontent-length: -1\r\n\r\n",
+        b"POST /do/look HTTP/1.1\r\ntransfer-encoding: identity, chunked, gzip\r\n\r\n0\r\n\r\n",
+        b"POST /do/look HTTP/1.1\r\ncontent-length : 5\r\n\r\nhello",
+    ],
+)
+def test_requests_that_may_be_read_in_two_ways_are_refused_and_the_connection_ends(field, sent):
+    raw = Raw(field.loop, field.forwarder.address)
+    raw.sock.sendall(sent)
+    until(field.loop, lambda: raw.read() and raw.ended)
+    assert raw.got.startswith(b"HTTP/1.1 400") and not field.asked
+
+
+def test_one_byte_at_a_time_and_a_body_cut_short(field):
+    raw = Raw(field.loop, field.forwarder.address)
+    raw.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for byte in b"POST /do/look HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc":
+        raw.sock.send(bytes([byte]))
+        field.loop.turn(time.monotonic() + 0.001)
+    until(field.loop, lambda: b"abc" in raw.read())
+    cut = Raw(field.loop, field.forwarder.address)
+    cut.sock.sendall(b"POST /do/look HTTP/1.1\r\ncontent-length: 30\r\n\r\nabc")
+    cut.sock.close()
+    field.loop.turn(time.monotonic() + 0.05)
+    assert len(field.asked) == 1 and field.get("look").status == 200
+
+
+def test_a_server_that_answers_one_byte_at_a_time(field):
+    loop, slow = field.loop, []
+
+    def drip(stream) -> None:
+        data = bytearray(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nslow")
+
+        def one() -> None:
+            if data:
+                stream.write(bytes([data.pop(0)]))
+                loop.after(0.001, one)
+
+        stream.on_data = lambda _: one()
+        slow.append(stream)
+
+    listener = Listener(loop, ("127.0.0.1", 0), drip)
+    field.tables.run = "r"
+    line = Line(0, f"127.0.0.1:{listener.address[1]}", 1.0)
+    field.tables.take(changes(0, 1, Use(0, 0), line, whole=True), 0.0)
+    assert field.get("look").body == b"slow"
+    listener.close()
+
+
+def test_out_of_descriptors_accepts_again_when_there_are_some(field, monkeypatch):
+    listener, real = field.forwarder.http.listener, field.forwarder.http.listener.sock
+    calls = []
+
+    class Empty:
+        def __getattr__(self, name):
+            return getattr(real, name)
+
+        def accept(self):
+            calls.append(time.monotonic())
+            if len(calls) < 3:
+                raise OSError(24, "Too many open files")
+            return real.accept()
+
+    listener.sock = Empty()
+    monkeypatch.setattr(field.loop, "watch", lambda sock, *rest, watch=field.loop.watch: watch(
+        real if isinstance(sock, Empty) else sock, *rest))  # fmt: skip
+    assert field.get("look").status == 200
+    assert len(calls) >= 3 and calls[2] - calls[0] > 0.15  # it does not spin
+
+
+def test_many_clients_at_once_are_served_or_refused_plainly():
+    field = Field(servers=2, limits=Limits(invocations=200, connections=64), bounds=Bounds(connections=600))
+    answers: list = []
+    for _ in range(1000):
+        HttpClient(field.loop, field.forwarder.address).call("POST", "/do/look", b"", answers.append, 20.0)
+    until(field.loop, lambda: len(answers) == 1000, 30.0)
+    kinds = Counter(answer.status for answer in answers)
+    assert kinds[200] > 100 and kinds[200] + kinds[503] == 1000
+    field.close()
+
+
+def test_stopping_answers_what_is_out_and_takes_nothing_new(field):
+    field.how = ["hold", "hold"]
+    answers, done = field.ask("look"), []
+    until(field.loop, lambda: field.asked)
+    field.forwarder.stop(lambda: done.append(1), 5.0)
+    late = []
+    HttpClient(field.loop, field.forwarder.address).call("POST", "/do/look", b"", late.append, 2.0)
+    until(field.loop, lambda: late)
+    assert late[0].error == "refused" and not done
+    field.asked[0][1].answer(200)
+    until(field.loop, lambda: answers and done)
+    assert answers[0].status == 200
+
+
+# ---- following ------------------------------------------------------------------------------------------------------
+
+
+class Followed(Rig):
+    """A supervisor's service, and a follower of it."""
+
+    def follow(self, *before: tuple[str, int]) -> Follower:
+        self.held = Tables(3, "weighted", "share", 0, [], Random(1))
+        self.told: list = []
+        follower = Follower(self.loop, 3, "east", 5.0, [*before, self.service.address], self.held,
+                            Sums([operation.name for operation in self.instance.facts.operations]), Random(1),
+                            lambda event, **fields: self.told.append((event, fields)), period=0.1)  # fmt: skip
+        self.follower = follower
+        return follower
+
+
+@pytest.fixture
+def followed():
+    rig = Followed(silence=0.5)
+    yield rig
+    rig.follower.stopped = True
+    rig.close()
+
+
+def test_a_follower_joins_is_put_on_a_table_and_acknowledges(followed):
+    followed.roster(1, True, 1, 2, 3)
+    followed.follow()
+    until(followed.loop, lambda: len(followed.held.servers()) == 3)
+    followed.roster(2, False, 2, state="draining")
+    until(followed.loop, lambda: len(followed.held.servers()) == 2)
+    until(followed.loop, lambda: not followed.instance.hub.records[3].marks)
+
+
+def test_a_follower_keeps_its_tables_while_every_supervisor_is_away_and_counts_what_it_drops(followed):
+    followed.roster(1, True, 1, 2, 3)
+    follower = followed.follow()
+    until(followed.loop, lambda: len(followed.held.servers()) == 3)
+    followed.service.http.close()
+    until(followed.loop, lambda: not follower.stream)
+    for _ in range(KEPT_REPORTS):
+        follower.sums.tried("10.0.0.1:80", 0.1, None)
+    until(followed.loop, lambda: follower.sums.dropped)
+    assert len(followed.held.servers()) == 3 and any(event == "reports_dropped" for event, _ in followed.told)
+
+
+def test_a_follower_goes_to_another_supervisor_when_the_first_does_not_answer(followed):
+    followed.roster(1, True, 1, 2)
+    silent = Listener(followed.loop, ("127.0.0.1", 0), lambda stream: None)
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        closed = free.getsockname()
+    followed.follow(closed, silent.address)
+    until(followed.loop, lambda: len(followed.held.servers()) == 2, 20.0)
+    silent.close()
+
+
+def test_a_follower_turns_down_what_cannot_be_and_asks_for_the_whole(followed):
+    followed.roster(1, True, 1, 2, 3)
+    follower = followed.follow()
+    until(followed.loop, lambda: len(followed.held.servers()) == 3)
+    whole = dict(followed.held.held)
+    answer = type("Answer", (), {"status": 200, "error": ""})()
+    answer.body = msgspec.json.encode(Changes("run", 77, 78, False, [Line(0, A, 1.0)]))
+    follower.control.close()
+    follower._told(answer)
+    assert followed.held.held == whole and follower.turned_down == 1
+    until(followed.loop, lambda: follower.stream and followed.held.version)
+    assert followed.held.held == whole
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -585,9 +585,10 @@
     code, said = run("replay", *files)
     told = [json.loads(line) for line in said.splitlines()]
     assert code == 0 and [row["said"] for row in told] == ["same", "same"] and all(row["turns"] > 10 for row in told)
-    (proxies,) = (tmp_path / "t").glob("proxies-*.dst")
-    assert json.loads(run("summary", proxies)[1])["kinds"]["invocation"] > 300
-    merged = json.loads(run("merge", files[0], proxies, tmp_path / "both.dst")[1].splitlines()[-1])
+    proxies = sorted((tmp_path / "t").glob("proxy-*.dst"))
+    kinds = [json.loads(run("summary", file)[1])["kinds"] for file in proxies]
+    assert len(proxies) == 4 and sum(each["invocation"] for each in kinds) > 300
+    merged = json.loads(run("merge", files[0], proxies[0], tmp_path / "both.dst")[1].splitlines()[-1])
     assert abs(merged["clocks"][0]["offset_s"]) <= merged["clocks"][0]["bound_s"] + 1e-3 < 0.05
 
 
