--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -23,7 +23,10 @@
 @click.option("--tamper", type=click.Choice(RULES), help="break this rule between supervisor and proxies")
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="keep record and logs in this folder")
 @click.option("--trace", type=click.Path(file_okay=False, path_type=Path), help="write traces into this folder")
-def day(name: str, seed: int, as_json: bool, tamper: str | None, keep: Path | None, trace: Path | None) -> None:
+@click.option("--tries", type=click.IntRange(0, 3), help="the mode of trying again that every proxy is told")
+def day(
+    name: str, seed: int, as_json: bool, tamper: str | None, keep: Path | None, trace: Path | None, tries: int | None
+) -> None:
     """Plays the day NAME (one that comes along, or a file) on loopback sockets. Exit code: 0 when every rule is kept,
     1 when one is broken, 2 on bad input."""
     try:
@@ -33,7 +36,7 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder = keep or Path(scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        stage = play(script, seed, folder, tamper, trace)
+        stage = play(script, seed, folder, tamper, trace, tries)
         verdict = judge(script, stage.record)
         size = stage.recorder.bytes
     if as_json:
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -144,8 +144,9 @@
     """Plays one day; `events` says what was done when, for whoever reads the verdict."""
 
     def __init__(
-        self, script: says.Script, seed: int, folder: Path, tamper: str | None = None, trace: Path | None = None
-    ) -> None:
+        self, script: says.Script, seed: int, folder: Path, tamper: str | None = None, trace: Path | None = None,
+        tries: int | None = None,
+    ) -> None:  # fmt: skip
         self.script, self.seed, self.facts = script, seed, script.facts
         self.random = Random(f"day {seed}")
         self.net, self.lock = free_net(os.getpid())
@@ -161,8 +162,8 @@
         target = (f"{host}.9", 7100)
         self.control = Relay(self.loop, self.recorder, CONTROL, (f"{host}.2", CONTROL_PORT), target)
         self.roster_relay = Relay(self.loop, self.recorder, ROSTER, (f"{host}.3", ROSTER_PORT), target)
-        if tamper:
-            self.control.tamper = Tamper(tamper, self.facts.message_cap, self.cold)
+        if tamper or tries is not None:
+            self.control.tamper = Tamper(tamper or "", self.facts.message_cap, self.cold, tries)
         self.servers: dict[int, ServerStandin] = {}
         self.gone: set[int] = set()
         self.successors = script.fleet.servers
@@ -405,9 +406,10 @@
 
 
 def play(
-    script: says.Script, seed: int, folder: Path, tamper: str | None = None, trace: Path | None = None
-) -> Stage:
+    script: says.Script, seed: int, folder: Path, tamper: str | None = None, trace: Path | None = None,
+    tries: int | None = None,
+) -> Stage:  # fmt: skip
     """Plays a day; what passed is in the stage's `record`, and in traces where a folder for them is given."""
-    stage = Stage(script, seed, folder, tamper, trace)
+    stage = Stage(script, seed, folder, tamper, trace, tries)
     stage.play()
     return stage
--- a/driftshed/day/tamper.py
+++ b/driftshed/day/tamper.py
@@ -23,9 +23,10 @@
 class Tamper:
     """Changes what one proxy, or every proxy, is told."""
 
-    def __init__(self, rule: str, cap: int, cold: set[str]) -> None:
-        """`cold`: the servers that start during the day, added to as they do; `cap`: messages to one proxy."""
-        self.rule, self.cold = rule, cold
+    def __init__(self, rule: str, cap: int, cold: set[str], tries: int | None = None) -> None:
+        """`cold`: the servers that start during the day, added to as they do; `cap`: messages to one proxy. `tries`:
+        the mode that every level is changed to; no rule breaks by that alone."""
+        self.rule, self.cold, self.tries = rule, cold, face.ONE_AFTER_ANY if rule == "twice" else tries
         self.one: str | None = None  # the host of the proxy that is meant, where it is one
         self.repeats = 2 * max(cap, 30)
         self.last = b""
@@ -47,8 +48,8 @@
     def _said(self, host: str, change) -> list:
         if self.rule == "bare" and host == self.one and isinstance(change, Line):
             return [Line(change.table, change.server, 0.0)]
-        if self.rule == "twice" and isinstance(change, Level):
-            return [Level(change.table, change.operation, change.level, face.ONE_AFTER_ANY)]
+        if self.tries is not None and isinstance(change, Level):
+            return [Level(change.table, change.operation, change.level, self.tries)]
         if self.rule == "drains" and isinstance(change, Line) and change.weight == 0:
             return []
         if self.rule == "failback" and isinstance(change, Line) and change.server in self.cold and change.weight:
