--- a/benchmarks/proxies.py
+++ b/benchmarks/proxies.py
@@ -44,10 +44,13 @@
 
 
 def start_proxy(supervisor: str = "127.0.0.1:18119", *more: str) -> subprocess.Popen:
-    return start("-m", "driftshed.cli", "proxy", "--listen", f"{PROXY[0]}:{PROXY[1]}", "--number", "1",
-                 "--zone", "east", "--supervisor", supervisor, "--standing", f"{SERVER[0]}:{SERVER[1]}", "--server-connections", "512",
-                 "--connecting", "64", "--operation", "look:objective=1,timeout=5,value=1,effect=idempotent",
-                 *more)  # fmt: skip
+    flags = {"listen": f"{PROXY[0]}:{PROXY[1]}", "number": "1", "zone": "east", "supervisor": supervisor,
+             "standing": f"{SERVER[0]}:{SERVER[1]}", "server-connections": "512", "connecting": "64"}  # fmt: skip
+    command = [part for name, value in flags.items() for part in (f"--{name}", value)]
+    for name in ("status", "history", "credit", "look"):  # the first three are those of hosted.py
+        if name != "look" or supervisor.endswith(":18119"):
+            command += ["--operation", f"{name}:objective=1,timeout=5,value=1,effect=idempotent"]
+    return start("-m", "driftshed.cli", "proxy", *command, *more)
 
 
 def cpu(process: subprocess.Popen) -> float:
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -122,6 +122,12 @@
         except msgspec.DecodeError as error:
             self._again(f"join: {error}")
             return
+        if joined.operations != self.sums.operations:
+            # Guards against tables whose operations mean others here: places in a list are all that they say.
+            why = f"the supervisor's operations are {joined.operations}, not {self.sums.operations}"
+            self.log("turned_down", level="error", why=f"{why}: give both the same --operation flags, in one order")
+            self._again("its operations are others")
+            return
         if joined.run != self.tables.run:
             self.tables.run, self.tables.version = joined.run, joined.version
         self.stream, self.joined_at = joined.stream, self.loop.now
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -566,6 +566,13 @@
     assert len(followed.held.servers()) == 3 and any(event == "reports_dropped" for event, _ in followed.told)
 
 
+def test_a_follower_takes_no_tables_of_other_operations(followed):
+    followed.roster(1, True, 1, 2, 3)
+    followed.follow().sums.operations = ["look"]
+    until(followed.loop, lambda: any(event == "turned_down" for event, _ in followed.told))
+    assert "--operation" in dict(followed.told)["turned_down"]["why"] and not followed.held.held
+
+
 def test_a_follower_goes_to_another_supervisor_when_the_first_does_not_answer(followed):
     followed.roster(1, True, 1, 2)
     silent = Listener(followed.loop, ("127.0.0.1", 0), lambda stream: None)
