Tests of the proxy's process, a million picks, 5,000 clients at once, an operation left unanswered

Need: each hard case of the proxy is to stand as a test. A million picks of each kind keep their spread by chi-square, after each of a thousand changes every line has its exact stretch; SIGTERM answers what is out; 5,000 clients that connect at once are served or refused plainly; an operation left unanswered leaves the others be.

--- a/driftshed/proxy/command.py
+++ b/driftshed/proxy/command.py
@@ -25,8 +25,8 @@
     """"address:port"s; click.BadParameter names the flag."""
     found = []
     for text in texts:
-        try:
-            server_id(text)
+        try:  # port 0 stands for a free one
+            server_id(text.removesuffix(":0") + ":1" if text.endswith(":0") else text)
         except BadName as error:
             raise click.BadParameter(f"{error}; such as 127.0.0.1:7000", param_hint=f"--{flag}") from None
         host, _, port = text.rpartition(":")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -2,15 +2,21 @@
 real sockets."""
 
 import itertools
+import resource
+import signal
 import socket
+import subprocess
+import sys
 import time
 from collections import Counter
 from random import Random
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 
 from driftshed import interface as face
+from driftshed.cli import main
 from driftshed.core.messages import Changes, In, Level, Line, Out, Use
 from driftshed.net.http import Bounds, HttpClient, HttpServer
 from driftshed.net.loop import Loop
@@ -27,7 +33,7 @@
 
 # ---- picks ----------------------------------------------------------------------------------------------------------
 
-PICKED = 200_000
+PICKED = 1_000_000
 
 
 def chi_square(counts: Counter, weights: dict[str, float]) -> float:
@@ -66,7 +72,14 @@
         lines[name] = weight
         if random.random() < 0.2:
             picker.pick([], {})
-        assert abs(weights.total * Weights.UNIT - sum(lines.values())) < 1e-6
+        # After each change every line has exactly its own stretch of the whole, one behind the other.
+        begins, at = [weights._before(place) for place in range(len(weights.units) + 1)], 0
+        for place, units in enumerate(weights.units):
+            assert begins[place] == at
+            at += units
+        assert at == weights.total
+        for name, weight in lines.items():
+            assert abs(weights.weight(name) - weight) <= Weights.UNIT
     lines = {name: weight for name, weight in lines.items() if weight}
     counts = Counter(picker.pick([], {}) for _ in range(PICKED))
     assert set(counts) <= set(lines) and chi_square(counts, lines) < bound(len(lines))
@@ -279,6 +292,8 @@
             request.answer(503)
         elif how == "never":
             request.answer(503, extra="x-never-ran: 1\r\n")
+        elif how == "leaves look" and not request.path.endswith("look"):
+            request.answer(200, b"served")
         elif how == "errs":
             request.answer(500)
         elif how == "closes":
@@ -345,6 +360,14 @@
     field.close()
 
 
+def test_a_server_that_leaves_one_operation_unanswered_serves_the_rest(field):
+    field.how = ["leaves look", "leaves look"]
+    waiting = field.ask("look")
+    assert [field.get("post").status for _ in range(20)] == [200] * 20
+    until(field.loop, lambda: waiting)
+    assert waiting[0].status == 504
+
+
 def test_a_server_that_is_not_there_is_proof_and_the_next_one_gets_it(field):
     field.servers[0].close()
     answers = [field.get("post") for _ in range(12)]
@@ -497,13 +520,15 @@
 
 
 def test_many_clients_at_once_are_served_or_refused_plainly():
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 20000), hard))
     field = Field(servers=2, limits=Limits(invocations=200, connections=64), bounds=Bounds(connections=600))
     answers: list = []
-    for _ in range(1000):
+    for _ in range(5000):
         HttpClient(field.loop, field.forwarder.address).call("POST", "/do/look", b"", answers.append, 20.0)
-    until(field.loop, lambda: len(answers) == 1000, 30.0)
+    until(field.loop, lambda: len(answers) == 5000, 60.0)
     kinds = Counter(answer.status for answer in answers)
-    assert kinds[200] > 100 and kinds[200] + kinds[503] == 1000
+    assert kinds[200] > 100 and kinds[200] + kinds[503] == 5000
     field.close()
 
 
@@ -521,6 +546,49 @@
     assert answers[0].status == 200
 
 
+def test_the_process_answers_what_is_out_before_it_ends_on_sigterm():
+    loop, held, answers = Loop(), [], []
+    server = HttpServer(loop, ("127.0.0.1", 0), held.append)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "driftshed.cli", "proxy", "--listen", "127.0.0.1:0", "--number", "1", "--zone", "east",
+         "--supervisor", "127.0.0.1:1", "--standing", f"127.0.0.1:{server.address[1]}", "--operation",
+         "look:objective=1,timeout=20,value=1,effect=idempotent"],
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    try:
+        port = process.stdout.readline().strip().rpartition(":")[2]
+        client = HttpClient(loop, ("127.0.0.1", int(port)))
+        client.call("POST", "/do/look", b"", answers.append, 20.0)
+        until(loop, lambda: held)
+        process.send_signal(signal.SIGTERM)
+        loop.run(time.monotonic() + 0.3)
+        assert not answers and process.poll() is None
+        held[0].answer(200, b"in the end", "text/plain")
+        until(loop, lambda: answers)
+        assert answers[0].body == b"in the end" and process.wait(10) == 0
+        assert '"event": "stopped"' in process.stderr.read()
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+        process.stderr.close()
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ("flags", "said"),
+    [
+        (["--zone", "moon"], "one of east, west"), (["--supervisor", "nowhere"], "--supervisor"),
+        (["--standing", "10.0.0.1:80"], "loopback alone"), (["--listen", "127.0.0.1"], "--listen"),
+    ],
+)  # fmt: skip
+def test_a_bad_flag_of_the_proxy_is_named_with_its_remedy(flags, said):
+    given = {"--number": "1", "--zone": "east", "--supervisor": "127.0.0.1:7000",
+             "--operation": "look:objective=1,timeout=20,value=1"} | dict([flags])  # fmt: skip
+    result = CliRunner().invoke(main, ["proxy", *(part for pair in given.items() for part in pair)])
+    assert result.exit_code == 2 and said in " ".join(result.output.split())
+
+
 # ---- following ------------------------------------------------------------------------------------------------------
 
 
