Proxy leaves a client's query as it is; code that nothing used is out

The proxy added proxy= and try= to every query that it forwarded, which nothing read and no client asked for; two functions of the trace schema, a list of exports and four fields had no use; the two ways between stored and shown tries checked the same thing in two places, now in one.

--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -10,7 +10,7 @@
 import click
 
 from driftshed.day.judge import judge
-from driftshed.day.script import BadScript, known_scripts, load_script
+from driftshed.day.script import BadScript, load_script
 from driftshed.day.stage import play
 from driftshed.day.tamper import RULES
 from driftshed.supervisor.flags import option
@@ -65,6 +65,3 @@
         click.echo(f"  {text}")
     parts = ", ".join(f"{name} {share:.3f}" for name, share in verdict.operations.items())
     click.echo(f"service {verdict.service:.3f} of the billed value of {verdict.asked} invocations ({parts})")
-
-
-__all__ = ["day", "known_scripts"]
--- a/driftshed/net/http.py
+++ b/driftshed/net/http.py
@@ -30,14 +30,14 @@
 class Request:
     """One request and the one answer to it. `on_gone` is called when its connection ends before the answer."""
 
-    __slots__ = ("method", "path", "query", "headers", "body", "connection", "on_gone", "answered", "keep", "note")
+    __slots__ = ("method", "path", "query", "headers", "body", "connection", "on_gone", "answered", "keep")
 
     def __init__(self, connection: ServerConnection) -> None:
         self.connection = connection
         self.method, self.path, self.query, self.body = "", "", "", b""
         self.headers: dict[bytes, bytes] = {}
         self.on_gone: Callable[[], object] | None = None
-        self.answered, self.keep, self.note = False, True, None
+        self.answered, self.keep = False, True
 
     def answer(self, status: int, body: bytes = b"", kind: str = "application/json", extra: str = "") -> None:
         """Answers, once; `extra` is whole header lines, each ended by CR LF. After that, or when the connection has
@@ -244,16 +244,16 @@
 class ClientConnection:
     """One kept connection of a client, with at most one call on it."""
 
-    __slots__ = ("client", "stream", "parser", "call", "headers", "body", "status", "sent", "calls", "timer")
+    __slots__ = ("client", "stream", "parser", "call", "headers", "body", "sent", "calls", "timer")
 
     def __init__(self, client: HttpClient, stream: Stream) -> None:
         self.client, self.stream, self.call, self.timer = client, stream, None, None
-        self.headers, self.body, self.status, self.sent, self.calls = {}, b"", 0, False, 0
+        self.headers, self.body, self.sent, self.calls = {}, b"", False, 0
         self.parser = httptools.HttpResponseParser(self)
         stream.on_data, stream.on_end, stream.on_open = self._data, self._end, self._open
 
     def start(self, call: Call) -> None:
-        self.call, self.sent, self.status, self.headers, self.body = call, False, 0, {}, b""
+        self.call, self.sent, self.headers, self.body = call, False, {}, b""
         self.calls += 1
         if not self.stream.connecting:
             self._open()
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -81,7 +81,6 @@
         self.on_tables: Callable[[], object] = lambda: None
         self.message: Callable[[float, str, bool], object] | None = None
         self.at, self.failed, self.stream, self.turned_down, self.stopped = 0, 0, "", 0, False
-        self.joined_at: float | None = None
         self._dial()
         loop.after(period * random.random(), self._report)
 
@@ -130,7 +129,7 @@
             return
         if joined.run != self.tables.run:
             self.tables.run, self.tables.version = joined.run, joined.version
-        self.stream, self.joined_at = joined.stream, self.loop.now
+        self.stream = joined.stream
         self.log("joined", run=joined.run, version=joined.version)
         self._poll()
 
--- a/driftshed/proxy/forward.py
+++ b/driftshed/proxy/forward.py
@@ -36,7 +36,7 @@
 class Invocation:
     """One client's request under way."""
 
-    __slots__ = ("request", "place", "began", "due", "tried", "call", "server", "tries", "body", "headers", "try_began")
+    __slots__ = ("request", "place", "began", "due", "tried", "call", "server", "tries", "headers", "try_began")
 
     def __init__(self, request: Request, place: int, began: float, due: float, headers: str) -> None:
         self.request, self.place, self.began, self.due, self.headers = request, place, began, due, headers
@@ -139,8 +139,6 @@
         inv.server, inv.try_began = server, now
         self.out[server] = self.out.get(server, 0) + 1
         request, query = inv.request, f"?{inv.request.query}" if inv.request.query else ""
-        if request.query or self.trace:
-            query = f"{query or '?'}{'&' if query else ''}proxy={self.number}&try={len(inv.tried) + 1}"
         extra = f"{inv.headers}x-timeout: {inv.due - now:.3f}\r\n"
         inv.call = self._client(server).call(
             request.method, request.path + query, request.body, lambda answer: self._tried(inv, answer), within, extra,
--- a/driftshed/trace/schema.py
+++ b/driftshed/trace/schema.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import defaultdict
 
 import numpy as np
@@ -45,14 +44,20 @@
     return sums - np.repeat(before, counts), np.concatenate(([0], sums))[last] - before
 
 
+def _has_tries(batch: Batch, begins: str, ends: str) -> bool:
+    """Whether these are invocations with their tries told by these columns."""
+    if batch.kind != "invocation" or not {begins, ends, "spans"} <= set(batch.columns):
+        return False
+    if not np.array_equal(batch.columns[begins][1].counts, batch.columns["spans"][1].counts):
+        raise TraceError("an invocation has more tries in one column than in another")
+    return True
+
+
 def spread(batch: Batch) -> Batch:
     """A batch as it is stored, with what follows from it."""
-    if batch.kind != "invocation" or not {"gaps", "rest", "spans"} <= set(batch.columns):
+    if not _has_tries(batch, "gaps", "rest"):
         return batch
-    counts, gaps = batch.columns["gaps"][1]
-    spans = batch.columns["spans"][1]
-    if not np.array_equal(counts, spans.counts):
-        raise TraceError("an invocation has more tries in one column than in another")
+    (counts, gaps), spans = batch.columns["gaps"][1], batch.columns["spans"][1]
     ends, last = _ends(counts, gaps + spans.items)
     new = {"gaps": ("began", "T", Lists(counts, ends - spans.items)), "rest": ("took", "t", last + batch.ints("rest"))}
     return _renamed(batch, new)
@@ -60,12 +65,9 @@
 
 def fold(batch: Batch) -> Batch:
     """The other way round."""
-    if batch.kind != "invocation" or not {"began", "took", "spans"} <= set(batch.columns):
+    if not _has_tries(batch, "began", "took"):
         return batch
-    counts, began = batch.columns["began"][1]
-    spans = batch.columns["spans"][1]
-    if not np.array_equal(counts, spans.counts):
-        raise TraceError("an invocation has more tries in one column than in another")
+    (counts, began), spans = batch.columns["began"][1], batch.columns["spans"][1]
     ends = began + spans.items
     before = np.concatenate(([0], ends))[:-1] if len(ends) else ends
     firsts = (np.cumsum(counts) - counts)[counts > 0]
@@ -130,11 +132,3 @@
     for kind, source, row in rows:
         groups[kind, source, tuple(row)].append(row)
     return [to_batch(kind, source, group) for (kind, source, _), group in groups.items()]
-
-
-def seconds(micros: int) -> float:
-    return micros / 1e6
-
-
-def is_time(value: float) -> bool:
-    return isinstance(value, int | float) and math.isfinite(value) and abs(value) < 9e12
