--- a/driftshed/adapter/codec.py
+++ b/driftshed/adapter/codec.py
@@ -7,10 +7,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from driftshed import interface as face
-
-
-class BadInput(Exception):
-    """What is wrong with the bytes that came, and where."""
+from driftshed.adapter.facts import BadInput, read_facts
 
 
 class Cursor:
@@ -142,67 +139,6 @@
     return struct.pack("<I", len(body)) + body
 
 
-# ---- settings text ------------------------------------------------------------------------------------------
-
-EFFECTS = {"retryable": "idempotent", "dedup": "fingerprinted", "fragile": "side-effecting"}
-LOADS = {"busy_reqs": "in flight", "pending": "queued", "cpu_share": "utilisation", "svc_ms": "service time",
-         "served_ps": "succeeded rate", "failed_ps": "errored rate"}  # fmt: skip
-AMOUNTS = {"seconds": lambda text: int(text) / 1e6, "number": float, "count": lambda text: int(float(text)),
-           "word": str, "yes": lambda text: text == "true", "words": lambda text: tuple(text.split(",")),
-           "loads": lambda text: tuple(LOADS.get(word, word) for word in text.split(",")),
-           "effect": EFFECTS.__getitem__, "pushed": lambda text: text == "pushed"}  # fmt: skip
-
-# One row a fact, in the order of the interface's fields: the wire's path, how to read it, and what an absent one is.
-OPERATION_FACTS = (
-    ("name", "word", ""), ("sloUs", "seconds", None), ("deadlineUs", "seconds", None), ("worth", "number", None),
-    ("lateWorth", "number", None), ("effect", "effect", None), ("dedupScope", "word", None),
-    ("windowUs", "seconds", None),
-)  # fmt: skip
-START_FACTS = (
-    ("zones", "words", ()), ("hostTypes", "words", ()), ("az", "count", None), ("me", "count", None),
-    ("balancers", "count", None), ("registryMode", "pushed", None), ("weightSource", "word", None),
-    ("report.fields", "loads", ()), ("report.how", "word", None), ("limits.mayProbe", "yes", False),
-    ("limits.peerMessages", "yes", False), ("invariants.fullMayHaveRun", "yes", False),
-    ("invariants.onlyDrainingBinds", "yes", False), ("invariants.askWithinUs", "seconds", None),
-    ("invariants.coldFrom", "number", None), ("invariants.warmWithinUs", "seconds", None),
-    ("invariants.drainGraceUs", "seconds", None), ("invariants.tipMultiple", "number", None),
-    ("invariants.fallUs", "seconds", None), ("domain.admit", "word", None), ("domain.queueCap", "number", None),
-    ("domain.linesPerS", "number", None), ("domain.perMessage", "number", None), ("domain.transitUs", "seconds", None),
-    ("domain.worstTransitUs", "seconds", None), ("domain.pushesAllowed", "count", 0),
-    ("domain.messagesOverUs", "seconds", None), ("domain.lineFee", "number", None),
-    ("domain.emptyForUs", "seconds", None), ("domain.proxies", "count", None), ("domain.bootstrap", "count", None),
-    ("domain.pick", "word", None), ("domain.perTry", "number", None), ("domain.defaultRetry", "count", None),
-    ("domain.outlierAfter", "count", None), ("domain.cycleUs", "seconds", None), ("domain.hearsPerS", "number", None),
-    ("domain.slices", "count", 0), ("domain.soleOwner", "yes", False), ("domain.keepsWritingUs", "seconds", None),
-    ("domain.lingersUs", "seconds", None), ("domain.bufferForUs", "seconds", None),
-    ("domain.reassignPrice", "number", None), ("domain.warmKeys", "yes", False), ("domain.minConnCap", "number", None),
-    ("limits.dialTimeoutUs", "seconds", None), ("limits.idleCloseUs", "seconds", None),
-    ("limits.maxStreams", "count", None), ("quantumUs", "seconds", None),
-)  # fmt: skip
-
-
-def read_facts(text: str) -> face.StartFacts:
-    """The start facts of a settings text. Keys that no row names are skipped."""
-    given = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-
-    def fact(path: str, amount: str, absent: object) -> object:
-        try:
-            return AMOUNTS[amount](given[path]) if given.get(path, "") != "" else absent
-        except (ValueError, KeyError):
-            raise BadInput(f"settings: {path}={given[path]} is not one of its kind ({amount})") from None
-
-    writes, local = fact("domain.classWrites", "words", ()), fact("domain.staysLocal", "words", ())
-    operations = tuple(
-        face.Operation(
-            *(fact(f"lanes.{place}.{name}", amount, absent) for name, amount, absent in OPERATION_FACTS),
-            writes=writes[place : place + 1] == ("true",),
-            stays_local=local[place : place + 1] == ("true",),
-        )
-        for place in range(fact("lanes.count", "count", 0))
-    )
-    return face.StartFacts(operations, *(fact(*row) for row in START_FACTS))
-
-
 def read_frames(stream) -> Iterator[bytes]:
     """The bodies of the frames of a stream, until it ends between two of them."""
     while head := stream.read(4):
--- /dev/null
+++ b/driftshed/node/config.py
@@ -0,0 +1,94 @@
+"""What one supervisor is told: environment and configuration file to checked facts."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from driftshed import interface as face
+from driftshed.adapter.facts import BadInput, facts_of, flat
+
+MOST_BYTES = 16 << 20  # of a configuration file
+LEAST_SOCKETS = 32  # with fewer descriptors there is no room for collectors beside the rest
+# Facts without which the module cannot decide; the others may be absent.
+NEEDED = ("own_zone", "own_number", "supervisors", "list_is_pushed", "listed_weights", "ask_within", "cold_share",
+          "warm_within", "drain_grace", "tip_multiple", "level_form", "queue_cap", "lines_per_second",
+          "lines_per_message", "transit", "worst_transit", "message_span", "proxies", "standing_lines",
+          "report_period", "report_lines_per_second", "tick")  # fmt: skip
+
+
+class Told(NamedTuple):
+    """The facts of one supervisor. Addresses are (host, port); `known` is in discovery's form."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    relay: tuple[str, int]
+    seed: int
+    sockets: int
+    facts: face.StartFacts
+    known: dict
+
+
+def address(text: object, what: str) -> tuple[str, int]:
+    """An IPv4 address and a port; BadInput names what it is for."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+            raise ValueError
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        raise BadInput(f"{what} is {str(text)[:80]!r}: give an IPv4 address, a colon and a port") from None
+
+
+def read(environment: Mapping[str, str]) -> Told:
+    """All that a supervisor is told. BadInput: what is missing or wrong, and what to give instead."""
+    path = environment.get("LB_CONFIG")
+    if not path:
+        raise BadInput("LB_CONFIG is not set: name the configuration file in it")
+    try:
+        with open(path, "rb") as file:
+            text = file.read(MOST_BYTES + 1)
+    except OSError as error:
+        raise BadInput(f"LB_CONFIG names {path}, which cannot be read: {error.strerror}") from None
+    if len(text) > MOST_BYTES:
+        raise BadInput(f"{path} is larger than {MOST_BYTES} bytes")
+    try:
+        given = msgspec.json.decode(text)
+    except msgspec.DecodeError as error:
+        raise BadInput(f"{path} is no JSON: {error}") from None
+    return checked(given, environment)
+
+
+def checked(given: object, environment: Mapping[str, str]) -> Told:
+    """A configuration as decoded, with the environment where it says nothing itself. BadInput: as `read`."""
+    if not isinstance(given, dict):
+        raise BadInput("the configuration is no JSON object")
+    settings, known = given.get("settings"), given.get("known")
+    relay, limits = given.get("distributor"), given.get("limits")
+    for name, value in (("settings", settings), ("distributor", relay)):
+        if not isinstance(value, dict):
+            raise BadInput(f"the configuration's {name!r} is missing or no object")
+    try:
+        seed = int(str(given.get("seed", "0")), 16)
+    except ValueError:
+        raise BadInput(f"the configuration's seed is {str(given['seed'])[:40]!r}: give hexadecimal digits") from None
+    sockets = limits.get("sockets", 256) if isinstance(limits, dict) else 256
+    if not isinstance(sockets, int) or sockets < LEAST_SOCKETS:
+        raise BadInput(f"limits.sockets is {sockets!r}: {LEAST_SOCKETS} or more are wanted")
+    facts = facts_of(flat(settings))
+    missing = [name for name in NEEDED if getattr(facts, name) is None]
+    if missing or not facts.operations or not facts.zones or not facts.kinds:
+        raise BadInput(f"settings say nothing of {', '.join(missing) or 'operations, zones or kinds of servers'}")
+    if not (facts.lines_per_second > 0 and facts.report_period > 0 and facts.tick > 0 and facts.proxies > 0):
+        raise BadInput("settings: the channel's pace, the period of reports, the tick and proxies must be above 0")
+    return Told(
+        str(given.get("name", environment.get("LB_NAME", "supervisor"))),
+        address(environment.get("LB_LISTEN", given.get("listen")), "LB_LISTEN"),
+        address(given.get("discovery", environment.get("LB_DISCOVERY")), "the configuration's discovery"),
+        address(relay.get("address"), "the configuration's distributor.address"),
+        seed, sockets, facts, known if isinstance(known, dict) else {},
+    )  # fmt: skip
