--- a/driftshed/adapter/facts.py
+++ b/driftshed/adapter/facts.py
@@ -16,7 +16,8 @@
 LOADS = {"busy_reqs": "in flight", "pending": "queued", "cpu_share": "utilisation", "svc_ms": "service time",
          "served_ps": "succeeded rate", "failed_ps": "errored rate"}  # fmt: skip
 AMOUNTS = {"seconds": lambda text: number(text) / 1e6, "number": lambda text: number(text),
-           "count": lambda text: int(number(text)), "word": str, "yes": lambda text: text == "true", "words": lambda text: tuple(text.split(",")),
+           "count": lambda text: int(number(text)), "word": str, "yes": lambda text: text == "true",
+           "words": lambda text: tuple(text.split(",")),
            "loads": lambda text: tuple(LOADS.get(word, word) for word in text.split(",")),
            "effect": EFFECTS.__getitem__, "pushed": lambda text: text == "pushed"}  # fmt: skip
 
--- a/driftshed/node/codec.py
+++ b/driftshed/node/codec.py
@@ -204,8 +204,8 @@
     id: int | None = None
     method: str = ""
     params: Raw = Raw(b"null")
-    result: Raw | None = None
-    error: Raw | None = None
+    result: Raw = Raw()
+    error: Raw = Raw()
 
 
 class Taken(Struct):
@@ -214,14 +214,6 @@
     accepted: int
 
 
-class Refusal(Struct):
-    """Why a call was turned away."""
-
-    message: str = ""
-    code: int | str = ""
-    data: object = None
-
-
 LINE, TAKEN = msgspec.json.Decoder(Line), msgspec.json.Decoder(Taken)
 
 
--- a/driftshed/node/relay.py
+++ b/driftshed/node/relay.py
@@ -99,10 +99,10 @@
             line = LINE.decode(text)
         except msgspec.DecodeError as error:
             raise Spoilt(f"an answer that cannot be read: {error}: {text[:200]!r}") from None
-        if self.sent_at is None or line.id != self.number or (line.result is None) == (line.error is None):
+        if self.sent_at is None or line.id != self.number or bool(bytes(line.result)) == bool(bytes(line.error)):
             raise Spoilt("an answer to nothing that was asked")
         ops = self.waiting[0]
-        if line.error is not None:
+        if bytes(line.error):
             if b"Throttling" in bytes(line.error):
                 self.sent_at, self.not_before = None, now + TURNED_AWAY
                 self.turned_away += 1
@@ -189,7 +189,7 @@
         except (msgspec.DecodeError, Bad) as error:
             raise Spoilt(f"news that cannot be read: {error}: {text[:200]!r}") from None
         if not line.method:
-            if line.id != 1 or line.result is None or bytes(line.result) != b"true":
+            if line.id != 1 or bytes(line.result) != b"true":
                 raise Spoilt("the watch was not granted")
             self.standing = set()
             return []
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -257,6 +257,7 @@
             "second", joined=len(host.joins.held), listed=len(host.roster.entries), version=host.roster.version,
             out=sum(brain.out_at[i] is not None for i in ready), cold=sum(not brain._warm(i) for i in ready),
             let_in=round(brain.let_in, 3), tries=brain.tries, waiting=len(host.orders.waiting),
+            unanswered=len(brain.unanswered), channel=round(brain._waiting()),
             calls=host.orders.calls, repeats=host.orders.repeats, refused=host.orders.refused,
             turned_away=host.orders.turned_away, faults=host.faults, longest=round(self.longest, 4),
             late=round(self.latest, 4), cpu=round(time.process_time(), 3), rss=memory(),
