--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -124,6 +124,12 @@
     # ---- turns ------------------------------------------------------------------------------------------------
 
     def hear(self, events: list) -> None:
+        for event in events:
+            if isinstance(event, face.Listing):
+                self._note("list", version=event.version, changed=[
+                    (entry.server.decode(), entry.state, entry.started and round(self.loop.clock() - entry.started, 2))
+                    for entry in event.entries[:8]
+                ])  # fmt: skip
         if events:
             self.host.take(events)
             self._soon()
