A part far over its due gives busy proxies away though they fit nowhere

At fault: brain.py, _deal: a proxy moved only where one part lacked as much as it brings, so the busiest never moved.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -520,7 +520,11 @@
                     if not even or rate[proxy] > over[giver] or over[giver] <= UNEVEN * due[zone][giver]:
                         continue
                     taker = over.index(min(over))
-                    if rate[proxy] > -over[taker]:
+                    # Guards against a part that keeps the busiest proxies since no other lacks as much as one of
+                    # them brings: far over its due, it gives one to a part that ends less than half as far over.
+                    far = over[giver] / (due[zone][giver] or 1.0)
+                    ends = (over[taker] + rate[proxy]) / (due[zone][taker] or 1.0)
+                    if ends > 0 and (far <= STAYS or ends >= STAYS * far):
                         continue
                     over[giver] -= rate[proxy]
                 self.due_part[proxy] = taker
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -346,6 +346,23 @@
     assert world.brain._answers(0)[part] < 0.2
 
 
+def test_busy_proxies_leave_a_part_though_no_other_lacks_as_much_as_one_of_them_brings():
+    world = large()
+    world.run(5, calm)
+    part = world.holds[0]
+    busy = [proxy for proxy in world.holds if world.holds[proxy] == part][:3]
+
+    def demand_of_few(w: World) -> None:
+        calm(w)
+        w.news += [face.Demand(8 if p in busy else 1, p, 0.25, 0, op) for p in w.bound for op in range(3)]
+
+    world.run(15, demand_of_few)
+    assert len(busy) == 3 and len({world.holds[proxy] for proxy in busy}) > 1
+    rate = world.brain.rate
+    brought = [sum(rate[p] for p, at in world.holds.items() if at == part) for part in world.tables]
+    assert max(brought) < 1.6 * sum(brought) / len(brought)
+
+
 def test_a_part_that_bears_little_gives_away_the_rest_at_once():
     world = large()
     world.run(10, calm)
