Levels are not cut for proxies that no report tells of yet

The log of every look: what comes counted the new proxies at once, what was answered did not, as reports come 2 to 5 s late (60 lines a second for 220 rows). Excluded: slow answers alone (a cut would have been by a tenth or two), the program (no call repeated, turns under 4 ms). At fault: brain.py, _control, come = sum(self.rate.values()). Now it counts who joined before the looked-at reports.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -107,9 +107,9 @@
         self.part_zone, self.bears, self.fleeing = [], {}, set()
         self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.spent: dict[int, deque] = defaultdict(deque)
-        # Proxies: zone, what comes, when written to, the part it should hold and does hold, the mark that it
-        # has yet to answer; and the channel: mark, lines, when.
-        self.home, self.demand, self.rate, self.sent_at = {}, {}, {}, {}
+        # Proxies: zone, what comes, when written to and joined, the part it should hold and does hold, the
+        # mark that it has yet to answer; and the channel: mark, lines, when.
+        self.home, self.demand, self.rate, self.sent_at, self.joined_at = {}, {}, {}, {}, {}
         self.due_part, self.held_part, self.unanswered = {}, {}, {}
         self.channel, self.marks, self.levels_under_way, self.first_list = deque(), 0, False, True
         self.mix = [1.0 for _ in self.objectives]
@@ -241,12 +241,13 @@
     def _hear_joined(self, joined: face.Joined) -> None:
         self._hear_left(joined)
         self.sent_at[joined.proxy], self.home[joined.proxy] = deque(), joined.zone
+        self.joined_at[joined.proxy] = self.now
         self.demand[joined.proxy] = [joined.rate * part / sum(self.mix) for part in self.mix]
         self.rate[joined.proxy] = sum(self.demand[joined.proxy])
 
     def _hear_left(self, left: face.Left) -> None:
         parts = self.due_part, self.held_part, self.unanswered
-        for known in (self.sent_at, self.home, self.demand, self.rate, *parts):
+        for known in (self.sent_at, self.joined_at, self.home, self.demand, self.rate, *parts):
             known.pop(left.proxy, None)
         if not self.unanswered:
             self.channel.clear()  # nobody is left who would answer for it
@@ -385,7 +386,9 @@
         nothing. Harm: a slow thing behind all that would pass by itself."""
         took = weighted_median([(total / good, good) for _, good, total in self.strain if good])
         tries, good = sum(row[0] for row in self.strain), sum(row[1] for row in self.strain)
-        span, come = self.now - self.strain_from, max(1.0, sum(self.rate.values()))
+        # Guards against levels cut since proxies have joined whose tries no report tells of yet.
+        known = [r for proxy, r in self.rate.items() if self.joined_at[proxy] <= self.strain_from - VIEW]
+        span, come = self.now - self.strain_from, max(1.0, sum(known))
         self._look_afresh()
         if not tries:
             return  # silence is neither strain nor ease
@@ -520,8 +523,8 @@
                     if not even or rate[proxy] > over[giver] or over[giver] <= UNEVEN * due[zone][giver]:
                         continue
                     taker = over.index(min(over))
-                    # Guards against a part that keeps the busiest proxies since no other lacks as much as one of
-                    # them brings: far over its due, it gives one to a part that ends less than half as far over.
+                    # Guards against a part that keeps the busiest proxies since no other lacks as much as one
+                    # brings: far over its due, it gives one to a part that ends less than half as far over.
                     far = over[giver] / (due[zone][giver] or 1.0)
                     ends = (over[taker] + rate[proxy]) / (due[zone][taker] or 1.0)
                     if ends > 0 and (far <= STAYS or ends >= STAYS * far):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -363,6 +363,21 @@
     assert max(brought) < 1.6 * sum(brought) / len(brought)
 
 
+def test_levels_are_not_cut_for_proxies_that_no_report_tells_of_yet():
+    world = World(proxies=4, extra="domain.proxies=64\n")
+
+    def strained(w: World) -> None:
+        w.news += [face.Demand(5, proxy, 0.25, 0, op) for proxy in range(4) for op in range(3)]
+        for name in w.states:
+            w.hear(name, 0.3, tries=7)
+
+    world.run(6, lambda w: (demand(w), [w.hear(name) for name in w.states])[0])
+    world.news += [face.Joined(p % 2, False, p, 60.0) for p in range(4, 12)]
+    let_in = []
+    world.run(4, lambda w: (strained(w), let_in.append(w.brain.let_in))[0])
+    assert world.brain.tries == face.NO_TRY and min(let_in) > 0.8
+
+
 def test_a_part_that_bears_little_gives_away_the_rest_at_once():
     world = large()
     world.run(10, calm)
