--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -130,6 +130,8 @@
                     (entry.server.decode(), entry.state, entry.started and round(self.loop.clock() - entry.started, 2))
                     for entry in event.entries[:8]
                 ])  # fmt: skip
+        if any(isinstance(event, face.Left) for event in events):
+            self.host.orders.shed(lambda proxy: proxy not in self.host.joins.held)
         if events:
             self.host.take(events)
             self._soon()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,7 +19,7 @@
 from driftshed.net.loop import Loop
 from driftshed.net.stream import Listener
 from driftshed.node import config
-from driftshed.node.codec import Bad, Facts
+from driftshed.node.codec import Facts
 from driftshed.node.collectors import NACK, PONG, Peer
 from driftshed.node.discovery import Broken, Roster, Watch
 from driftshed.node.jsonlines import Lines, TooLong
@@ -494,6 +494,22 @@
     platform.until(lambda: 2 in platform.holds()[1])
 
 
+def test_what_waits_for_a_proxy_that_left_is_not_sent(platform):
+    platform.start(0)
+    orders = platform.service.host.orders
+    platform.lose = ["silent"]
+    orders.give([{"do": "put", "group": 0, "target": "s-1", "rps": 1.0}])
+    platform.service._soon()
+    platform.until(lambda: not platform.lose)
+    orders.give([{"do": "attach", "id": 1, "group": 0}, {"do": "put", "group": 0, "target": "s-2", "rps": 1.0}])
+    platform.join(1)
+    platform.until(lambda: 1 in platform.service.host.joins.held)
+    del platform.standing[1]
+    platform.all("CLOSED", id=1)
+    platform.until(lambda: not orders.waiting)
+    assert platform.applied[-1][-1]["target"] == "s-2" and 1 not in platform.holds()[1]
+
+
 def test_a_silent_watch_of_the_list_is_begun_anew(platform):
     platform.start()
     platform.service.discovery.heard_at -= 60
@@ -600,4 +616,3 @@
     assert "msgspec" in loaded
     for name in ("structlog", "click", "numpy", "rich", "asyncio", "matplotlib", "zstandard"):
         assert f"'{name}'" not in loaded
-    assert Bad and Facts
