--- a/driftshed/core/instance.py
+++ b/driftshed/core/instance.py
@@ -7,14 +7,12 @@
 
 from driftshed import interface as face
 from driftshed.brain import Brain
-from driftshed.core.hosting import Fault, Hosted
+from driftshed.core.hosting import Hosted
 from driftshed.core.hub import Hub, Record, Refused
 from driftshed.core.messages import BadName, Join, Report, RosterNews, server_id, server_name
 from driftshed.core.roster import Roster
 from driftshed.core.sums import Sums
 
-__all__ = ["Fault", "Instance"]
-
 
 class Instance(Hosted):
     """`turn(now)` lets the module hear what has come and acts on its orders; call it soon after anything came in and
--- a/driftshed/node/codec.py
+++ b/driftshed/node/codec.py
@@ -30,13 +30,13 @@
     return name.encode()
 
 
-def amount(value: object, most: float, least: float = 0.0, above: bool = False) -> float:
+def amount(value: object, most: float, above: bool = False) -> float:
     """A finite number within bounds, from a number or its text."""
     try:
         number = float(value)  # type: ignore[arg-type]
     except (TypeError, ValueError):
         raise Bad("a number is none") from None
-    if isinstance(value, bool) or not isfinite(number) or not least <= number <= most or (above and number <= least):
+    if isinstance(value, bool) or not isfinite(number) or not 0 <= number <= most or (above and not number):
         raise Bad("a number is out of range")
     return number
 
@@ -56,7 +56,6 @@
         self.zones = {name: place for place, name in enumerate(facts.zones)}
         self.kinds = {name: place for place, name in enumerate(facts.kinds)}
         self.operations = {operation.name: place for place, operation in enumerate(facts.operations)}
-        self.names = [operation.name for operation in facts.operations]
         self.loads, self.proxies, self.to_clock = facts.load_fields, facts.proxies, to_clock
 
     def _place(self, known: dict[str, int], name: object, what: str) -> int:
@@ -195,7 +194,7 @@
     def _classes(self, operations: int) -> dict:
         if operations == face.ALL_OPERATIONS:
             return {}
-        return {"classes": [name for place, name in enumerate(self.names) if operations >> place & 1]}
+        return {"classes": [name for name, place in self.operations.items() if operations >> place & 1]}
 
 
 class Line(Struct):
--- a/driftshed/node/config.py
+++ b/driftshed/node/config.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -10,6 +9,7 @@
 
 from driftshed import interface as face
 from driftshed.adapter.facts import BadInput, facts_of, flat
+from driftshed.core.messages import BadName, server_id
 
 MOST_BYTES = 16 << 20  # of a configuration file
 LEAST_SOCKETS = 32  # with fewer descriptors there is no room for collectors beside the rest
@@ -35,13 +35,12 @@
 
 def address(text: object, what: str) -> tuple[str, int]:
     """An IPv4 address and a port; BadInput names what it is for."""
-    host, _, port = str(text).rpartition(":")
     try:
-        if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-            raise ValueError
-        return str(ipaddress.IPv4Address(host)), int(port)
-    except ValueError:
+        server_id(str(text))
+    except BadName:
         raise BadInput(f"{what} is {str(text)[:80]!r}: give an IPv4 address, a colon and a port") from None
+    host, _, port = str(text).rpartition(":")
+    return host, int(port)
 
 
 def read(environment: Mapping[str, str]) -> Told:
--- a/driftshed/node/link.py
+++ b/driftshed/node/link.py
@@ -24,7 +24,7 @@
         self.on_open, self.on_data, self.on_lost = on_open, on_data, on_lost
         self.stream: Stream | None = None
         self.timer: Timer | None = None
-        self.pause, self.dials, self.losses, self.closed = 0.0, 0, 0, False
+        self.pause, self.dials, self.closed = 0.0, 0, False
         loop.soon(self._dial)
 
     @property
@@ -61,7 +61,6 @@
             self.timer.cancel()
             self.timer = None
         if stood:
-            self.losses += 1
             self.on_lost(reason)
         self._again()
 
--- a/driftshed/node/relay.py
+++ b/driftshed/node/relay.py
@@ -83,7 +83,7 @@
 
     def late(self, now: float) -> bool:
         """Whether the answer that is awaited does not come any more."""
-        return self.sent_at is not None and now >= self.sent_at + ANSWER_WITHIN + LATE_FOR_US
+        return self.sent_at is not None and now >= self.next_at()
 
     def take(self, data: bytes, now: float) -> None:
         """What came on the connection. Spoilt: give it up."""
@@ -167,7 +167,7 @@
         self.facts, self.joins = facts, joins
         self.lines = Lines(1 << 16)
         self.standing: set[int] | None = None  # who stands, while that is being told
-        self.told = False  # what stands, in full
+        self.spoke = False  # it has told what stands, in full
         self.place: dict[int, int] = {}  # of each proxy, as far as this connection is
 
     def ask(self) -> bytes:
@@ -212,7 +212,7 @@
         """All that stands has been told: who was joined and does not stand has left unseen."""
         if self.standing is None:
             return []
-        standing, self.standing, self.told = self.standing, None, True
+        standing, self.standing, self.spoke = self.standing, None, True
         events = []
         for proxy, place in list(self.joins.count.items()):
             if proxy not in standing:
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -29,7 +29,7 @@
 NEWS_SILENT = 1.8  # seconds; a sign of life is due every second
 READY_WITHIN = 2.0  # seconds; then signs of life are given whether relay and discovery answer or not
 WATCHERS = 2  # connections with news of proxies
-BACKED_OFF = 0.05  # seconds until a connection that must wait for a call is looked at again
+MOVE_AGAIN = 0.005  # seconds until orders are moved, while a call is out
 
 
 class Host(Hosted):
@@ -104,8 +104,8 @@
                 log("known_list_unusable", level="warning", reason=str(error))
         self.listener = Listener(loop, told.listen, self._accept, 1 << 16)
         self.orders = Link(loop, self.random, told.relay, self._orders_open, self._orders_data, self._orders_lost)
-        self.watchers = [Watcher(self) for _ in range(WATCHERS)]
-        self.discovery = Discovery(self)
+        self.watchers = [Watcher(self, told.relay) for _ in range(WATCHERS)]
+        self.discovery = Discovery(self, told.discovery)
         self.next_second = self.began + 1
         loop.at(self.next_second, self._second)
         self._soon()
@@ -210,9 +210,7 @@
     def _turn_away(self, stream: Stream, reason: str) -> None:
         self.dropped[reason] += 1
         stream.write(NACK)
-        stream.finish()
-        if stream.sock is not None:
-            stream.abort("turned away")
+        stream.abort("turned away")
 
     def _gone(self, stream: Stream) -> None:
         self.strangers.pop(stream, None)
@@ -232,15 +230,15 @@
             else:
                 self.waiting_for_life.append(stream)
         if over:
-            stream.finish()
-            if stream.sock is not None:
-                stream.abort("turned away")
+            stream.abort("turned away")
 
     def look_ready(self) -> None:
         """Gives signs of life from when the supervisor can be used."""
+        if self.ready:
+            return
         late = self.loop.clock() - self.began > READY_WITHIN
-        heard = any(watcher.news.told or watcher.news.standing is not None for watcher in self.watchers)
-        if self.ready or not (late or (heard and self.discovery.spoke)):
+        heard = any(watcher.reader.spoke or watcher.reader.standing is not None for watcher in self.watchers)
+        if not (late or (heard and self.discovery.spoke)):
             return
         self.ready = True
         self.log("ready", after=round(self.loop.clock() - self.began, 3))
@@ -291,126 +289,94 @@
 
     def _move_orders(self, relay: tuple[str, int]) -> None:
         if self.host.orders.sent_at is not None and self.orders.up and self.orders.address != relay:
-            self.loop.after(BACKED_OFF / 10, lambda: self._move_orders(relay))  # its answer still comes there
+            self.loop.after(MOVE_AGAIN, lambda: self._move_orders(relay))  # its answer still comes there
             return
         self.orders.close()
         self.orders = Link(self.loop, self.random, relay, self._orders_open, self._orders_data, self._orders_lost)
 
 
-class Watcher:
-    """One connection with news of proxies, and the one that follows it at a new address."""
+class Follower:
+    """A connection whose other side tells on and on, and the one that follows it at a new address."""
+
+    name = spoilt = ""  # in the log: what is followed, and what it is called when it cannot be read
+    silent = 0.0  # seconds without a word, after which it is dialled anew
 
-    def __init__(self, service: Service) -> None:
+    def __init__(self, service: Service, address: tuple[str, int]) -> None:
         self.service = service
         self.old: Link | None = None
-        self._begin(service.told.relay)
+        self.spoke = False  # it has told once, on whichever connection
+        self._begin(address)
 
-    def _begin(self, relay: tuple[str, int]) -> None:
-        self.news = News(self.service.host.words, self.service.host.joins)
-        self.heard_at = self.service.loop.clock()
+    def make(self) -> News | Watch:
+        """What reads a new connection."""
+        raise NotImplementedError
+
+    def _begin(self, address: tuple[str, int]) -> None:
+        self.host = f"{address[0]}:{address[1]}"
+        self.reader, self.heard_at = self.make(), self.service.loop.clock()
         self.link = Link(
-            self.service.loop, self.service.random, relay, self._open, lambda data: self._data(self.link, data),
-            lambda reason: self.service._note("news_lost", reason=reason),
+            self.service.loop, self.service.random, address, self._open, self._data,
+            lambda reason: self.service._note(f"{self.name}_lost", reason=reason),
         )  # fmt: skip
 
-    def move(self, relay: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int]) -> None:
         """Dials a new address; the old one is let go once the new tells, or closes by itself."""
         if self.old is not None:
             self.old.close()
-        self.old, news, link = self.link, self.news, self.link
+        self.old, reader, link = self.link, self.reader, self.link
         link.closed = True
-        if link.stream is not None and link.up:
-            link.stream.on_data = lambda data: self._take(news, link, data)
+        if link.up:
+            link.stream.on_data = lambda data: self._take(reader, link, data)
         else:
             link.close()
-        self._begin(relay)
+        self._begin(address)
 
     def _open(self) -> None:
-        self.news = News(self.service.host.words, self.service.host.joins)
-        self.heard_at = self.service.loop.clock()
-        self.link.write(self.news.ask())
+        self.reader, self.heard_at = self.make(), self.service.loop.clock()
+        self.link.write(self.reader.ask())
 
-    def _data(self, link: Link, data: bytes) -> None:
+    def _data(self, data: bytes) -> None:
         self.heard_at = self.service.loop.clock()
-        self._take(self.news, link, data)
-        if self.news.told:
-            link.proved()
+        self._take(self.reader, self.link, data)
+        if self.reader.spoke:
+            self.spoke = True
+            self.link.proved()
             if self.old is not None:
                 self.old.close()
                 self.old = None
         self.service.look_ready()
 
-    def _take(self, news: News, link: Link, data: bytes) -> None:
+    def _take(self, reader: News | Watch, link: Link, data: bytes) -> None:
         try:
-            self.service.hear(news.take(data))
-        except Spoilt as error:
-            self.service._note("news_spoilt", reason=str(error))
-            link.drop("spoilt")
+            self.service.hear(reader.take(data))
+        except (Spoilt, Broken) as error:
+            reason, *events = error.args
+            self.service.hear([event for told in events for event in told])
+            self.service._note(f"{self.name}_{self.spoilt}", reason=reason)
+            link.drop(self.spoilt)
 
     def look(self, now: float) -> None:
         """Guards against a connection that stands and says nothing."""
-        if self.link.up and now - self.heard_at > NEWS_SILENT:
+        if self.link.up and now - self.heard_at > self.silent:
             self.link.drop("silent")
 
 
-class Discovery:
-    """The watch of the list."""
+class Watcher(Follower):
+    """News of proxies."""
 
-    def __init__(self, service: Service) -> None:
-        self.service = service
-        self.spoke = False
-        self.old: Link | None = None
-        self._begin(service.told.discovery)
+    name, spoilt, silent = "news", "spoilt", NEWS_SILENT
 
-    def _begin(self, address: tuple[str, int]) -> None:
-        self.host = f"{address[0]}:{address[1]}"
-        self.watch = Watch(self.service.host.roster, self.host)
-        self.heard_at = self.service.loop.clock()
-        self.link = Link(
-            self.service.loop, self.service.random, address, self._open, self._data,
-            lambda reason: self.service._note("discovery_lost", reason=reason),
-        )  # fmt: skip
-
-    def move(self, address: tuple[str, int]) -> None:
-        """Dials a new address; the old one tells on until the new does."""
-        if self.old is not None:
-            self.old.close()
-        self.old, watch, link = self.link, self.watch, self.link
-        link.closed = True
-        if link.up:
-            link.stream.on_data = lambda data: self._take(watch, link, data)
-        else:
-            link.close()
-        self._begin(address)
+    def make(self) -> News:
+        return News(self.service.host.words, self.service.host.joins)
 
-    def _open(self) -> None:
-        self.watch = Watch(self.service.host.roster, self.host)
-        self.heard_at = self.service.loop.clock()
-        self.link.write(self.watch.ask())
 
-    def _data(self, data: bytes) -> None:
-        self.heard_at = self.service.loop.clock()
-        self._take(self.watch, self.link, data)
-        if self.watch.spoke:
-            self.spoke = True
-            self.link.proved()
-            if self.old is not None:
-                self.old.close()
-                self.old = None
-            self.service.look_ready()
+class Discovery(Follower):
+    """The watch of the list."""
 
-    def _take(self, watch: Watch, link: Link, data: bytes) -> None:
-        try:
-            self.service.hear(watch.take(data))
-        except Broken as error:
-            self.service.hear(error.args[1])
-            self.service._note("discovery_broken", reason=error.args[0])
-            link.drop("broken")
+    name, spoilt, silent = "discovery", "broken", SILENT
 
-    def look(self, now: float) -> None:
-        """Guards against a watch that stands and says nothing."""
-        if self.link.up and now - self.heard_at > SILENT:
-            self.link.drop("silent")
+    def make(self) -> Watch:
+        return Watch(self.service.host.roster, self.host)
 
 
 def memory() -> float:
--- a/driftshed/trace/recording.py
+++ b/driftshed/trace/recording.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from driftshed.core.instance import Fault, Instance
+from driftshed.core.hosting import Fault
+from driftshed.core.instance import Instance
 from driftshed.trace.replay import RAISED, core_version, encode_facts, encode_records
 from driftshed.trace.writer import TraceWriter
 
