The module forgets the gone: their places in the index are taken again

Seen: 2.4 to 3.4 kB for each server ever listed and a turn that grew with each (731 places for 30 servers after 700 replacements). Cause: brain._list appended to every array and nothing was ever taken out; _judge, _wanted_lines, _reconcile and _look_afresh go through all places. Checked: what stands outside the module (node/discovery.Roster) lets go of the gone already. Now _seat takes the place of the longest gone once they outnumber the rest and once its line and withdrawal are away; views of late are kept by place in order, so that a former server's figures leave the medians with it. Who comes back soon keeps what was learnt. Late reports go by id, so nobody else is credited with them.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -15,7 +15,7 @@
  6. Parts: where the shared table is too long, it is laid out in parts that the proxies are dealt to.
 """
 
-from collections import defaultdict, deque
+from collections import OrderedDict, defaultdict, deque
 from math import ceil
 from random import Random
 
@@ -67,8 +67,7 @@
         self.ask_again, self.weighs = facts.ask_within / 8, facts.listed_weights != "off"
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
         self.spare, self.cap = facts.tip_multiple * SPARED, facts.queue_cap
-        self.by_two = facts.pick == "two"
-        self.head = facts.lines_per_message + 1  # and the mark
+        self.by_two, self.head = facts.pick == "two", facts.lines_per_message + 1  # and the mark
         self.round_lines = ORDINARY_SHARE * min(self.cap, facts.lines_per_second * facts.drain_grace)
         self.message_cap, self.message_span = facts.message_cap, facts.message_span
         self.gap = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
@@ -92,21 +91,20 @@
         # Servers: parallel arrays under a dense index. Factor: learnt, beside the listed weight; out_at: out
         # for health since; met: tries, good ones, time of all, fading from solve to solve; strain: the same
         # since the last look, good ones' time alone; line, shut: present weight, present withdrawal.
-        self.place: dict[bytes, int] = {}
-        self.ids, self.kind, self.state, self.started, self.entered, self.out_at = [], [], [], [], [], []
-        self.listed, self.factor, self.met, self.strain, self.busy = [], [], [], [], []
-        self.part, self.line, self.shut = [], [], []
+        self.place, self.gone = {}, {}  # by id; the places of those that are, the longest gone first
+        self.array = [[] for _ in range(14)]
+        self.ids, self.kind, self.state, self.started, self.entered, self.out_at, self.listed = self.array[:7]
+        self.factor, self.met, self.strain, self.busy, self.part, self.line, self.shut = self.array[7:]
         # What each zone says of each server; view: judged when, times the usual, erred share.
         self.says = [[[] for _ in zones] for _ in range(5)]
         self.reports, self.baseline, self.since, self.renewed, self.view = self.says
         # The views of the last while, oldest first, and the medians of what they say: kept up to date as
         # they come and lapse, so that a report costs the same in a fleet of any size.
-        self.fresh = [deque() for _ in zones]
+        self.fresh: list[OrderedDict[int, tuple]] = [OrderedDict() for _ in zones]
         self.usual_slow, self.usual_erred = [[RunningMedian() for _ in zones] for _ in range(2)]
         # Parts: the zone of the servers of each, what each zone met there (as in met), withdrawals of late.
         self.part_zone, self.bears, self.fleeing = [], {}, set()
-        self.seen: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
-        self.spent: dict[int, deque] = defaultdict(deque)
+        self.seen, self.spent = defaultdict(lambda: [0.0, 0.0, 0.0]), defaultdict(deque)
         # Proxies: zone, what comes, when written to and joined, the part it should hold and does hold, the
         # mark that it has yet to answer; and the channel: mark, lines, when.
         self.home, self.demand, self.rate, self.sent_at, self.joined_at = {}, {}, {}, {}, {}
@@ -120,8 +118,7 @@
         self.strain_from, self.next_control = now, now + self.control_every
         self.valves_wanted = [(self.all_in, self.tries) for _ in self.objectives]
         self.valve: dict[tuple[int, int], tuple] = {}  # present, by part and operation: level and tries
-        self.next_ask = None if facts.list_is_pushed else now
-        self.next_tick = self.next_deal = now
+        self.next_ask, self.next_tick, self.next_deal = None if facts.list_is_pushed else now, now, now
         self.next_solve, self.next_urgent = now + SOLVE_EVERY, LONG_AGO
 
     def handle(self, now: float, events: list) -> list:
@@ -156,17 +153,18 @@
             self.next_ask = None  # a subscription's answer, or its changes
         if listing.kind != face.DELTA:
             named = {entry.server for entry in listing.entries}
-            for server, i in self.place.items():
-                if server not in named:
-                    self.state[i] = face.GONE
+            for i in [i for server, i in self.place.items() if server not in named]:
+                self.state[i] = face.GONE
+                self.gone.setdefault(i)
         if self.first_list:
             self._divide([entry for entry in listing.entries if entry.state == face.READY])
         # Of each part: its servers by kind, and their weight; kept as the entries are gone through.
         self.tally = [(defaultdict(int), [0.0]) for _ in self.part_zone]
-        for i, state in enumerate(self.state):
-            self._count(i, int(state == face.READY))
+        for i in range(len(self.ids)):
+            self._count(i, 1)
         for entry in listing.entries:
-            self._list(entry)
+            if entry.server in self.place or entry.state != face.GONE:
+                self._list(entry)
         self.first_list = False
 
     def _divide(self, ready: list) -> None:
@@ -182,40 +180,44 @@
 
     def _list(self, entry) -> None:
         started = LONG_AGO if entry.started is None else entry.started
-        new = entry.server not in self.place
-        if new:
-            self.place[entry.server] = len(self.ids)
-            for array, value in (
-                (self.ids, entry.server), (self.kind, entry.kind), (self.state, face.GONE), (self.busy, None),
-                (self.started, started), (self.entered, LONG_AGO), (self.listed, 1.0), (self.factor, 1.0),
-                (self.out_at, None), (self.met, [0.0] * 3), (self.strain, [0.0] * 3), (self.part, 0),
-                (self.line, 0.0), (self.shut, False),
-            ):  # fmt: skip
-                array.append(value)
-            for zone in range(len(self.reports)):
-                unsaid = deque(), None, None, LONG_AGO, (LONG_AGO, 0.0, 0.0)
-                for array, value in zip(self.says, unsaid, strict=True):
-                    array[zone].append(value)
+        if new := entry.server not in self.place:
+            self._seat(entry)
         i = self.place[entry.server]
+        self._count(i, -1)
         if not self.line[i] and not self.shut[i]:
-            part = self._part_for(entry)
-            self._count(i, -int(self.state[i] == face.READY))
-            self.part[i] = part
-            self._count(i, int(self.state[i] == face.READY))
+            self.part[i] = self._part_for(entry)
         if entry.state == face.READY and (self.state[i] != face.READY or started > self.started[i]):
             self._enter(i, LONG_AGO if self.first_list else self.now)
             if (started > self.started[i] or new) and not self.first_list:
                 # One that starts now begins with what its kind has learnt, not with an average part.
                 kin = [k for servers in self._members() for k in servers if self.kind[k] == entry.kind]
                 self.factor[i] = median([self.factor[k] for k in kin if k != i]) or 1.0
-        self._count(i, -int(self.state[i] == face.READY))
         self.state[i], self.started[i] = entry.state, max(started, self.started[i])
+        self.gone.setdefault(i) if entry.state == face.GONE else self.gone.pop(i, None)
         if self.weighs and entry.weight > 0:
             self.listed[i] = entry.weight
-        self._count(i, int(entry.state == face.READY))
+        self._count(i, 1)
+
+    def _seat(self, entry: face.Entry) -> None:
+        """A new server's place. Guards against growth with each ever listed: once they outnumber the rest the
+        longest gone is forgotten. Its late reports go by its id, so the new one is not credited with them."""
+        many = 2 * len(self.gone) > len(self.ids)
+        free = (k for k in self.gone if many and not self.line[k] and not self.shut[k])
+        i = next(free, len(self.ids))
+        if i < len(self.ids):
+            del self.place[self.ids[i]], self.gone[i]
+        self.place[entry.server] = i
+        blank = entry.server, entry.kind, face.GONE, LONG_AGO, LONG_AGO, None, 1.0, 1.0, [0.0] * 3, [0.0] * 3
+        for array, value in zip(self.array, (*blank, None, 0, 0.0, False), strict=True):
+            array[i : i + 1] = [value]
+        for zone in range(len(self.reports)):
+            self._unsee(zone, i)
+            unsaid = deque(), None, None, LONG_AGO, (LONG_AGO, 0.0, 0.0)
+            for array, value in zip(self.says, unsaid, strict=True):
+                array[zone][i : i + 1] = [value]
 
     def _count(self, i: int, sign: int) -> None:
-        kinds, weight = self.tally[self.part[i]]
+        (kinds, weight), sign = self.tally[self.part[i]], sign * int(self.state[i] == face.READY)
         kinds[self.kind[i]] += sign
         weight[0] += sign * self.listed[i]
 
@@ -304,17 +306,18 @@
             self.baseline[zone][i] = took if usual is None else usual + self.learns * (took - usual)
 
     def _see(self, zone: int, i: int, slow: float, erred: float) -> None:
-        views, fresh, now = self.view[zone], self.fresh[zone], (self.now, slow, erred)
-        fresh.append((i, now))
-        old = views[i] if views[i][0] > self.now - VIEW else (None, None, None)
-        while fresh[0][1][0] <= self.now - VIEW:
-            k, view = fresh.popleft()
-            if views[k] is view:  # not renewed since
-                self.usual_slow[zone].swap(view[1], None)
-                self.usual_erred[zone].swap(view[2], None)
-        self.usual_slow[zone].swap(old[1], slow)
-        self.usual_erred[zone].swap(old[2], erred)
-        views[i] = now
+        fresh = self.fresh[zone]
+        self._unsee(zone, i)
+        while fresh and fresh[oldest := next(iter(fresh))][0] <= self.now - VIEW:
+            self._unsee(zone, oldest)
+        self.usual_slow[zone].swap(None, slow)
+        self.usual_erred[zone].swap(None, erred)
+        self.view[zone][i] = fresh[i] = self.now, slow, erred
+
+    def _unsee(self, zone: int, i: int) -> None:
+        _, slow, erred = self.fresh[zone].pop(i, (None, None, None))
+        self.usual_slow[zone].swap(slow, None)
+        self.usual_erred[zone].swap(erred, None)
 
     def _hear_demand(self, demand: face.Demand) -> None:
         if demand.proxy in self.sent_at and demand.window > 0 and demand.operation < len(self.mix):
@@ -413,7 +416,7 @@
             self.tries = face.NO_TRY
             if not spare and self.levels_by != "off":
                 # What a strained fleet answers is what it can do: let in a little less, in few large steps.
-                # What comes is known by reports of other moments: a slight strain lets in by its own look alone.
+                # What comes is known by reports of other moments: a slight strain goes by its own look alone.
                 slight = self.let_in * good / tries / pressure**2
                 bearable = HEADROOM * max(good / span / come, slight)
                 self.let_in = min(self.let_in, max(self.let_in * LARGEST_CUT, bearable, LEAST_LET_IN))
@@ -428,7 +431,7 @@
         return sum(self.listed[i] * self.factor[i] for servers in self._members() for i in servers)
 
     def _look_afresh(self) -> None:
-        self.strain = [[0.0, 0.0, 0.0] for _ in self.ids]
+        self.strain[:] = [[0.0, 0.0, 0.0] for _ in self.ids]
         self.strain_from, self.next_control = self.now, self.now + self.control_every
 
     def _wanted_valves(self) -> list[tuple[float, int]]:
@@ -492,7 +495,7 @@
 
     def _deal(self, lines: list[float], out: list[bool]) -> None:
         """Which part each proxy should hold. Guards against a part asked for more than it does, or empty."""
-        weight = [0.0] * len(self.part_zone)
+        weight = self.weight = [0.0] * len(self.part_zone)
         for i, line in enumerate(lines):
             weight[self.part[i]] += 0.0 if out[i] else line
         lost = {p for p in self.home if p not in self.due_part or not weight[self.due_part[p]]}
@@ -580,13 +583,11 @@
                 ordinary.append((-abs(weight - present) / (weight + present), *line))  # the largest first
             if out[i] != self.shut[i]:
                 ordinary.append((-1.0, part, face.Withdraw(out[i], self.ids[i])))
-        stays, wanted = [0.0] * len(self.part_zone), [0.0] * len(self.part_zone)
+        stays = [0.0] * len(self.part_zone)
         for part, line, present, gone in zip(self.part, lines, self.line, out, strict=True):
-            if not gone:
-                stays[part] += min(line, present)
-                wanted[part] += line
+            stays[part] += 0.0 if gone else min(line, present)
         for part in {part for weight, part, _ in urgent if not weight}:
-            if stays[part] <= wanted[part] * STAYS:
+            if stays[part] <= self.weight[part] * STAYS:
                 # Guards against a moment without a server, and against cold ones left with the part of the
                 # warm ones that end: what replaces most of a table goes with its end.
                 urgent = [row for row in ordinary if row[1] == part] + urgent
@@ -604,13 +605,12 @@
             self.next_urgent = self.now + self.gap
         rows = [row for row in ordinary if free or row[1] not in users]
         self._send(rows, users, messages, self.round_lines, ORDINARY_SHARE, go)
-        alive = {part for part, line, gone in zip(self.part, lines, out, strict=True) if line and not gone}
         ours = [0] * len(self.part_zone)
         for part, line, shut in zip(self.part, self.line, self.shut, strict=True):
             ours[part] += bool(line) + shut
         for proxy, part in self.due_part.items():
             held = self.held_part.get(proxy)
-            moves = held in alive and proxy not in self.fleeing  # the others join, or cannot stay
+            moves = held is not None and self.weight[held] and proxy not in self.fleeing  # the rest must
             if held == part or (moves and not free):
                 continue
             size, share = 1 + ours[part] + len(self.objectives) + self.head, ORDINARY_SHARE if moves else 1.0
