--- /dev/null
+++ b/driftshed/coordination/folder.py
@@ -0,0 +1,90 @@
+"""Keeping a folder of a store's nodes read: its children, their data, and what changes. Without I/O of its own: it asks
+by the function that it is given."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from driftshed.roster.jute import CHANGED, DELETED, NO_NODE, OK, Event, GetChildren, GetData, Request, Stat
+
+Ask = Callable[[Request, Callable[[int, object], object]], object]
+
+
+class Folder:
+    """`on_child(name, data, stat)` for each child that was read, at first and when it has changed; `on_gone(name)`;
+    `on_whole()` when a list has been read to its end; `on_missing()` where the folder is not there. Whatever a lost
+    connection leaves open is read with the next `begin`, which is due whenever the session goes on."""
+
+    def __init__(
+        self, ask: Ask, path: str, on_child: Callable[[str, bytes, Stat], object], on_gone: Callable[[str], object],
+        on_whole: Callable[[], object] = lambda: None, on_missing: Callable[[], object] = lambda: None,
+        changing: bool = True,
+    ) -> None:  # fmt: skip
+        self.ask, self.path, self.on_child, self.on_gone = ask, path, on_child, on_gone
+        self.on_whole, self.on_missing, self.changing = on_whole, on_missing, changing
+        self.names: set[str] = set()  # whose data is known or asked for
+        self.reading = 0
+        self.whole = False
+
+    def begin(self) -> None:
+        """Lists the folder, and reads whom it does not know."""
+
+        def got(error: int, result: object) -> None:
+            if error == OK:
+                self._listed(set(result[0]))
+            elif error == NO_NODE:
+                self.on_missing()
+
+        self.ask(GetChildren(self.path, True), got)
+
+    def heard(self, event: Event) -> bool:
+        """Whether a watch's event was this folder's."""
+        if event.path == self.path:
+            self.begin()
+            return True
+        parent, _, name = event.path.rpartition("/")
+        if parent != self.path:
+            return False
+        if event.kind == CHANGED:
+            self.read(name)
+        elif event.kind == DELETED:
+            self._gone(name)
+        return True
+
+    def _listed(self, there: set[str]) -> None:
+        for name in sorted(self.names - there):
+            self._gone(name)
+        for name in sorted(there - self.names):
+            self.read(name)
+        self._look_whole()
+
+    def read(self, name: str) -> None:
+        """Reads a child, again if it was read before."""
+        self.names.add(name)
+        self.reading += 1
+
+        def got(error: int, result: object) -> None:
+            self.reading -= 1
+            if error == OK:
+                self.on_child(name, *result)
+            elif error == NO_NODE:
+                self._gone(name)
+            else:
+                self.names.discard(name)
+            self._look_whole()
+
+        self.ask(GetData(f"{self.path}/{name}", self.changing), got)
+
+    def _gone(self, name: str) -> None:
+        if name in self.names:
+            self.names.discard(name)
+            self.on_gone(name)
+
+    def _look_whole(self) -> None:
+        if not self.reading:
+            self.whole = True
+            self.on_whole()
+
+    def forget(self) -> None:
+        """A new session: nothing is watched, and nothing is under way."""
+        self.names, self.reading, self.whole = set(), 0, False
--- a/driftshed/roster/announce.py
+++ b/driftshed/roster/announce.py
@@ -52,9 +52,18 @@
         self.random, self.on_standing, self.dial = Random(f"announce {seed}"), on_standing, dial
         self.standing = Standing.JOINING
         self.epoch = 0  # none taken yet
-        self.counter = f"{root}-epochs/{node.server}"
+        self.counter = f"{root}-epochs/{self.name}"
         self._begin()
 
+    @property
+    def name(self) -> str:
+        """What is announced: one node of this name for each epoch."""
+        return self.node.server
+
+    def data(self) -> bytes:
+        """What its node holds."""
+        return write_node(self.node._replace(epoch=self.epoch))
+
     def _begin(self) -> None:
         self.client = RosterClient(self.loop, self.hosts, self.timeout, self.random, self._state, self._event,
                                    self.dial)  # fmt: skip
@@ -97,8 +106,7 @@
             elif error != OK:
                 self._later(self._take_epoch)
             elif self.epoch and result[1].version != self.epoch:
-                self.client.stop()
-                self._stand(Standing.FENCED)
+                self.fence()
             elif self.epoch:
                 self._join()  # nobody has started since
             else:
@@ -138,11 +146,9 @@
 
     @property
     def path(self) -> str:
-        return f"{self.root}/{self.node.server}~{self.epoch}"
+        return f"{self.root}/{self.name}~{self.epoch}"
 
     def _join(self) -> None:
-        self.node = self.node._replace(epoch=self.epoch)
-
         def made(error: int, result: object) -> None:
             if error == OK:
                 self._stand(Standing.LISTED)
@@ -153,7 +159,7 @@
             else:
                 self._later(self._take_epoch)
 
-        self._ask(Create(self.path, write_node(self.node), EPHEMERAL), made)
+        self._ask(Create(self.path, self.data(), EPHEMERAL), made)
 
     def _mine(self) -> None:
         """A node of our epoch is there: made by us before an answer got lost, or by our last session."""
@@ -168,6 +174,12 @@
 
     # ---- going ------------------------------------------------------------------------------------------------
 
+    def fence(self) -> None:
+        """Another start holds the name: nothing more is announced or asked, and the session ends if it can."""
+        self._stand(Standing.FENCED)
+        self.client.ask(Close(), lambda error, result: None)
+        self.client.stop()
+
     def say(self, state: str, then: Callable[[], object] = lambda: None) -> None:
         """Says "draining", "gone" or "ready"; `then()` once the store has it. A word binds at once."""
         self.node = self.node._replace(state=state)
@@ -178,20 +190,21 @@
             else:
                 self._later(lambda: self.say(state, then))
 
-        self._ask(SetData(self.path, write_node(self.node)), said)
+        self._ask(SetData(self.path, self.data()), said)
 
     def leave(self, then: Callable[[], object] = lambda: None) -> None:
         """Says that it is gone, and ends the session."""
+        self.say("gone", lambda: self.close(then))
+
+    def close(self, then: Callable[[], object] = lambda: None) -> None:
+        """Ends the session: its node goes with it."""
 
         def closed(error: int, result: object) -> None:
             self.client.stop()
             then()
 
-        def gone() -> None:
-            self._stand(Standing.LEFT)
-            self.client.ask(Close(), closed)
-
-        self.say("gone", gone)
+        self._stand(Standing.LEFT)
+        self.client.ask(Close(), closed)
 
     def stop(self) -> None:
         """Falls silent, as a process that dies: the session lapses."""
--- a/driftshed/roster/session.py
+++ b/driftshed/roster/session.py
@@ -53,10 +53,10 @@
 class Asked:
     """One request: sent when `xid` is above 0."""
 
-    __slots__ = ("request", "done", "xid")
+    __slots__ = ("request", "done", "xid", "at")
 
     def __init__(self, request: Request, done: Done) -> None:
-        self.request, self.done, self.xid = request, done, 0
+        self.request, self.done, self.xid, self.at = request, done, 0, 0.0
 
 
 class ClientSession:
@@ -69,7 +69,11 @@
         self.waiting: deque[Asked] = deque()  # not sent
         self.sent: deque[Asked] = deque()
         self.watched: dict[str, dict[str, None]] = {"data": {}, "exist": {}, "children": {}}
-        self.heard_at = self.said_at = 0.0
+        self.heard_at = self.said_at = self.opened_at = 0.0
+        # When what was last answered had been sent, in seconds on the caller's clock: the store held the session to be
+        # alive at some moment after it, and for a whole time-out from then.
+        self.proved_at = float("-inf")
+        self.pinged: deque[float] = deque()
         self.on_state: Callable[[State], object] = lambda state: None
         self.on_event: Callable[[Event], object] = lambda event: None
         self.out = bytearray()
@@ -80,7 +84,8 @@
     def connected(self, now: float) -> None:
         """A connection stands: asks for the session to go on, or for a new one."""
         self.frames, self.out = Frames(), bytearray()
-        self.heard_at = self.said_at = now
+        self.heard_at = self.said_at = self.opened_at = now
+        self.pinged.clear()
         self._go(State.OPENING)
         self.out += jute.write_connect(Connect(self.zxid, round(self.wanted * 1000), self.session, self.password))
 
@@ -107,6 +112,7 @@
             self._expire()
             return
         self.timeout, self.session, self.password = told.timeout / 1000, told.session, told.password
+        self.proved_at = self.opened_at
         self._go(State.ON)
         if any(self.watched.values()):
             # Guards against changes missed while away: the store tells what happened since the last zxid seen.
@@ -123,6 +129,8 @@
         if reply.zxid > 0:
             self.zxid = max(self.zxid, reply.zxid)
         if reply.xid in (XID_PING, XID_SET_WATCHES):
+            if reply.xid == XID_PING and self.pinged:
+                self.proved_at = max(self.proved_at, self.pinged.popleft())
             return
         if not self.sent or self.sent[0].xid != reply.xid:
             raise Malformed(f"an answer to {reply.xid}, and {self.sent[0].xid if self.sent else 'none'} is next")
@@ -133,6 +141,7 @@
             self.sent.appendleft(asked)
             self._expire()
             return
+        self.proved_at = max(self.proved_at, asked.at)
         whole = reply.error == OK or (isinstance(asked.request, jute.Multi) and reader.left)
         result = jute.read_result(asked.request, reader) if whole else None
         self._note_watch(asked.request, reply.error)
@@ -158,6 +167,7 @@
 
     def _expire(self) -> None:
         self._go(State.EXPIRED)
+        self.proved_at = float("-inf")
         for paths in self.watched.values():
             paths.clear()
         waiting = [*self.sent, *self.waiting]
@@ -185,7 +195,7 @@
 
     def _send(self, asked: Asked, now: float) -> None:
         self.xid = self.xid % 0x7FFFFFFF + 1
-        asked.xid = self.xid
+        asked.xid, asked.at = self.xid, now
         self.sent.append(asked)
         self.said_at = now
         self.out += jute.write_request(asked.xid, asked.request)
@@ -213,6 +223,7 @@
             return False
         if self.state is State.ON and now >= self.said_at + self.timeout / PINGS:
             self.said_at = now
+            self.pinged.append(now)
             self.out += jute.write_request(XID_PING, Ping())
         return True
 
