--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 
 from msgspec import UNSET
 from msgspec.structs import replace
@@ -109,7 +110,7 @@
 class Agent:
     """`expected`: names of the supervisors of the fleet, this one's among them. `judge(record)`: the word on an open
     record, (assent, why), or None to be asked again. `on_record(record)`: a topic stands anew. `on_roll()`: the living
-    changed."""
+    changed. `seed` is to be another at each start."""
 
     def __init__(
         self, loop: Timers, hosts: list[tuple[str, int]], root: str, member: Member, expected: tuple[str, ...],
@@ -121,7 +122,8 @@
         self.lease, self.roll = Lease(timeout, drift, pause), Roll(expected, loop.clock())
         self.topics: dict[str, Topic] = {}
         self.gone: dict[str, int] = {}  # epochs of topics that were swept
-        self.counter, self.number = "", 0
+        # Guards against two processes of one name whose proposals look alike: whose it is tells who reads it again.
+        self.run, self.number = f"{Random(f'run {seed}').getrandbits(48):x}", 0
         self.judge: Judge = lambda record: None
         self.on_record: Callable[[Record], object] = lambda record: None
         self.on_roll: Callable[[], object] = lambda: None
@@ -324,10 +326,8 @@
                 proposal.epoch = record.epoch
                 if record.state == "settled":
                     proposal.end("settled")
-                elif record.state == "void":
-                    proposal.end("void", record.why)
-                elif record.state == "ended":
-                    proposal.end("settled", "ended since")
+                elif record.state != "open":
+                    proposal.end("settled" if record.passed else "void", record.why)
             elif record is not None and record.standing is not None and record.standing.token == proposal.token:
                 proposal.end("settled")
             elif proposal.epoch and (record is None or record.epoch > proposal.epoch):
@@ -346,7 +346,7 @@
         be. What becomes of it is told to `done`, also when this process lost contact meanwhile."""
         agreement.check(topic, needs, quorum, patience)
         self.number += 1
-        token = f"{self.name}~{self.incarnation}#{self.number}"
+        token = f"{self.name}~{self.run}#{self.number}"
 
         def make(old: Record | None, epoch: int) -> Record:
             return agreement.proposed(old, topic, epoch, self.name, token, body, needs, quorum, patience, binds_for)
--- a/driftshed/coordination/agreement.py
+++ b/driftshed/coordination/agreement.py
@@ -51,6 +51,7 @@
     binds_for: float | None = None
     standing: Standing | None = None
     why: Why = ""
+    passed: bool = False  # its own proposal was settled; also told once what stood is ended
 
 
 class Ballot(Struct, frozen=True):
@@ -130,7 +131,7 @@
 def settled(record: Record) -> Record:
     _open(record)
     standing = Standing(record.epoch, record.token, record.by, record.body, record.binds_for)
-    return replace(record, state="settled", standing=standing)
+    return replace(record, state="settled", standing=standing, passed=True)
 
 
 def voided(record: Record, why: str) -> Record:
--- a/driftshed/coordination/folder.py
+++ b/driftshed/coordination/folder.py
@@ -24,7 +24,7 @@
         self.on_whole, self.on_missing, self.changing = on_whole, on_missing, changing
         self.names: set[str] = set()  # whose data is known or asked for
         self.reading = 0
-        self.whole = False
+        self.listed = self.whole = False
 
     def begin(self) -> None:
         """Lists the folder, and reads whom it does not know."""
@@ -52,6 +52,7 @@
         return True
 
     def _listed(self, there: set[str]) -> None:
+        self.listed = True
         for name in sorted(self.names - there):
             self._gone(name)
         for name in sorted(there - self.names):
@@ -70,7 +71,9 @@
             elif error == NO_NODE:
                 self._gone(name)
             else:
+                # Guards against taking one that could not be read for one that is gone: only a new list can tell.
                 self.names.discard(name)
+                self.listed = self.whole = False
             self._look_whole()
 
         self.ask(GetData(f"{self.path}/{name}", self.changing), got)
@@ -81,10 +84,10 @@
             self.on_gone(name)
 
     def _look_whole(self) -> None:
-        if not self.reading:
+        if not self.reading and self.listed:
             self.whole = True
             self.on_whole()
 
     def forget(self) -> None:
         """A new session: nothing is watched, and nothing is under way."""
-        self.names, self.reading, self.whole = set(), 0, False
+        self.names, self.reading, self.listed, self.whole = set(), 0, False, False
--- a/driftshed/roster/announce.py
+++ b/driftshed/roster/announce.py
@@ -125,11 +125,12 @@
         self._ask(GetData(self.counter), read)
 
     def _make_counter(self) -> None:
-        """Makes the folders and the counter; that another one made them meanwhile is as good."""
-        parts = self.counter.split("/")[1:]
-        paths = ["/" + "/".join(parts[: k + 1]) for k in range(len(parts))]
-        root = self.root.split("/")[1:]
-        paths += ["/" + "/".join(root[: k + 1]) for k in range(len(root))]
+        """Makes the folders and the counter; that another one made them meanwhile is as good. The counter comes last:
+        with it there and no folder, after a connection lost in between, nobody would make the folder any more."""
+        paths = []
+        for path in (self.root, self.counter):
+            parts = path.split("/")[1:]
+            paths += ["/" + "/".join(parts[: k + 1]) for k in range(len(parts))]
 
         def make(k: int) -> None:
             def made(error: int, result: object) -> None:
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -48,7 +48,7 @@
         return self.clock()
 
     def at(self, when, call):
-        return super().at(when / self.rate, call)
+        return super().at(when / self.rate + 1e-9, call)  # else rounding calls it too early by its own clock
 
     def after(self, seconds, call):
         return self.at(self.clock() + seconds, call)
@@ -66,6 +66,7 @@
         self.saw: dict[tuple[str, int, str], list] = defaultdict(list)  # by agent and topic: records, as they came
         self.proposals: list[tuple[str, object]] = []  # topic, proposal
         self.agents: dict[str, Agent] = {}
+        self.all: list[Agent] = []
         self.seats: dict[str, DriftingSeat] = {}
         self.words = {}  # by name: what it says of records, by topic
         self.rows: list = []
@@ -94,6 +95,7 @@
         agent.judge = lambda record: self.words.get((name, record.topic), (True, ""))
         agent.on_record = lambda record: self.saw[name, id(agent), record.topic].append(record)
         self.agents[name], self.seats[name] = agent, seat
+        self.all.append(agent)
 
         def act() -> None:
             if agent.holds():
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -4,11 +4,7 @@
 
 import pytest
 
-from driftshed.coordination import agreement
-from driftshed.coordination.agreement import Barred
-from driftshed.coordination.lease import Lease
 from driftshed.roster.announce import Standing
-from driftshed.roster.jute import ANY_VERSION, SetData
 from tests.fleets import TIMEOUT, Fleet, check
 
 TOPICS = ("policy", "zone.east")
@@ -57,8 +53,10 @@
         trouble(fleet, chance)
         fleet.run(chance.choice([0.003, 0.01, 0.05, 0.3, 1.5]))
     fleet.words.clear()
+    fleet.run(6)
     for name in fleet.names:
-        if fleet.seats[name].ended:
+        if not any(agent.name == name and agent.chair.standing is not Standing.FENCED and not agent.seat.ended
+                   for agent in fleet.all):  # fmt: skip
             fleet.start(name)
     fleet.run(25)
     return fleet
@@ -66,13 +64,14 @@
 
 def all_ended(fleet: Fleet) -> None:
     """After the faults everybody is up again, and nothing is left waiting."""
-    assert all(agent.holds() for agent in fleet.agents.values()), {n: a.view() for n, a in fleet.agents.items()}
+    up = [agent.name for agent in fleet.all if agent.holds() and not agent.seat.ended]
+    assert sorted(up) == sorted(fleet.names), {n: a.view() for n, a in fleet.agents.items()}
     for topic in TOPICS:
         record = fleet.stored(topic)
         assert record is None or record.state != "open", record
     stuck = [(topic, p.state) for topic, p in fleet.proposals if p.state in ("waiting", "open")]
-    alive = {id(p) for agent in fleet.agents.values() for topic in agent.topics.values() for p in topic.proposals}
-    assert not alive, stuck
+    kept = [p for agent in fleet.all if agent.holds() for topic in agent.topics.values() for p in topic.proposals]
+    assert not kept, stuck
 
 
 @pytest.mark.parametrize("seed", range(60))
