Checks of a fleet's agents seen to fail; words on a record reach whoever counts them

Cause mended: Folder.heard took the event of a child's own children for its own, so a driver that had counted once waited for its patience. A proposal whose answer was lost is told as unknown where the fleet's count has passed it and nothing is left to tell.

--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -82,6 +82,7 @@
         self.token, self.make, self.done = token, make, done
         self.state, self.why, self.epoch = "waiting", "", 0
         self.withdrawn = ""  # why, once its writer wants it back
+        self.tried = 0  # the epoch of a write whose outcome is open
 
     def end(self, state: str, why: str = "") -> None:
         if self.state in ("waiting", "open"):
@@ -163,6 +164,9 @@
         self.log("fleet_session", state=state.value)
         if state is State.ON:
             self.loop.soon(self._begin)
+        else:
+            self.members.away()
+            self.records.away()
 
     def _begin(self) -> None:
         if self.client.session.state is State.ON:
@@ -545,7 +549,15 @@
             if error != OK:
                 self._look_up(topic)
                 return
-            version = result[1].version
+            version, held = result[1].version, topic.record
+            if proposal.tried and version >= proposal.tried and (held is None or held.epoch > proposal.tried):
+                # Guards against doing twice what was done, ended and swept before its answer could be looked up: the
+                # fleet's count has passed the epoch that it would have had, and nothing is left that could tell.
+                topic.busy = False
+                proposal.end("unknown", "its answer was lost, and the topic went on before it was read")
+                self._tell(topic)
+                self._look(topic)
+                return
             try:
                 record = proposal.make(topic.record, version + 1)
             except Barred as error:
@@ -555,11 +567,13 @@
                 self._look(topic)
                 return
             data = agreement.write(record)
+            proposal.tried = version + 1
             put = Create(path, data) if topic.record is None else SetData(path, data, topic.stat.version)
             self._write(Multi((SetData(self.records.path, b"", version), put)), put_back)
 
         def put_back(error: int, result: object) -> None:
-            if error in (BAD_VERSION, NODE_EXISTS):
+            if error in (BAD_VERSION, NODE_EXISTS, NO_NODE):
+                proposal.tried = 0  # surely not done
                 self.loop.after(AGAIN * self.chair.random.random(), lambda: self._look_up(topic))
             else:
                 self._look_up(topic)
--- a/driftshed/coordination/folder.py
+++ b/driftshed/coordination/folder.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable
 
-from driftshed.roster.jute import CHANGED, DELETED, NO_NODE, OK, Event, GetChildren, GetData, Request, Stat
+from driftshed.roster.jute import CHANGED, CHILDREN, DELETED, NO_NODE, OK, Event, GetChildren, GetData, Request, Stat
 
 Ask = Callable[[Request, Callable[[int, object], object]], object]
 
@@ -43,8 +43,8 @@
             self.begin()
             return True
         parent, _, name = event.path.rpartition("/")
-        if parent != self.path:
-            return False
+        if parent != self.path or event.kind == CHILDREN:
+            return False  # a child's own children are another folder's
         if event.kind == CHANGED:
             self.read(name)
         elif event.kind == DELETED:
@@ -88,6 +88,10 @@
             self.whole = True
             self.on_whole()
 
+    def away(self) -> None:
+        """The connection is lost: what is known stays, and is not known to be all until it has been listed again."""
+        self.listed = self.whole = False
+
     def forget(self) -> None:
         """A new session: nothing is watched, and nothing is under way."""
         self.names, self.reading, self.listed, self.whole = set(), 0, False, False
