--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -334,8 +334,11 @@
                     proposal.end("settled" if record.passed else "void", record.why)
             elif record is not None and record.standing is not None and record.standing.token == proposal.token:
                 proposal.end("settled")
-            elif proposal.epoch and (record is None or record.epoch > proposal.epoch):
+            elif (had := max(proposal.epoch, proposal.tried)) and record is not None and record.epoch > had:
+                # Guards against a guess: a later epoch than ours stands, and what it followed on is not told any more.
                 proposal.end("unknown", "the topic went on before this was read")
+            elif proposal.epoch and record is None:
+                proposal.end("unknown", "the topic was swept before this was read")
             elif record is not None and record.state == "open":
                 proposal.end("lost", f"epoch {record.epoch} of {record.by} was there first")
         topic.proposals = [each for each in topic.proposals if each.state in ("waiting", "open")]
