--- a/driftshed/cli.py
+++ b/driftshed/cli.py
@@ -4,6 +4,7 @@
 
 import click
 
+from driftshed.coordination.command import fleet
 from driftshed.day.command import day
 from driftshed.lab.command import lab
 from driftshed.proxy.command import proxy
@@ -25,6 +26,7 @@
 main.add_command(lab)
 main.add_command(roster)
 main.add_command(announce)
+main.add_command(fleet)
 
 if __name__ == "__main__":
     main()
--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -641,10 +641,7 @@
     def view(self) -> dict:
         """What `driftshed fleet` shows, from this supervisor's eyes."""
         now = self.loop.clock()
-        rows = [
-            {"name": row.name, "state": row.state, "since": row.since, "starts": row.starts,
-             "member": row.member} for row in self.roll.rows(now)
-        ]  # fmt: skip
+        rows = [row._asdict() for row in self.roll.rows(now)]
         records = [
             {"record": topic.record, "age": now - topic.since, "words": list(topic.ballots.values())}
             for topic in self.topics.values() if topic.record is not None
--- /dev/null
+++ b/driftshed/coordination/taking_part.py
@@ -0,0 +1,54 @@
+"""A supervisor as a process takes part in its fleet: what it says of itself, and what its API shows."""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from collections.abc import Callable
+from importlib.metadata import version
+
+import click
+
+from driftshed.coordination.agent import Agent
+from driftshed.coordination.members import BadMember, Member, check_name
+from driftshed.coordination.view import plain
+from driftshed.net.loop import Timers
+from driftshed.supervisor.service import Service
+
+SAY_EVERY = 2.0  # seconds between looks at what is to be said
+
+
+def roll_of(name: str, expected: str) -> tuple[str, ...]:
+    """The names of the fleet; click.BadParameter names the flag and the remedy."""
+    names = tuple(filter(None, (each.strip() for each in expected.split(","))))
+    try:
+        for each in (name, *names):
+            check_name(each)
+    except BadMember as error:
+        raise click.BadParameter(str(error), param_hint="--name or --expected") from None
+    if name not in names or len(set(names)) < len(names):
+        text = f"{expected!r}: name every supervisor of the fleet once, {name!r} among them"
+        raise click.BadParameter(text, param_hint="--expected")
+    return names
+
+
+def take_part(
+    loop: Timers, service: Service, hosts: list[tuple[str, int]], root: str, name: str, expected: str, timeout: float,
+    log: Callable[..., object],
+) -> Agent:  # fmt: skip
+    """Joins the fleet. What the supervisor does by itself does not wait for it, and stays as it is without it."""
+    host, port = service.address
+    member = Member(name, f"{host}:{port}", version("driftshed"))
+    names = roll_of(name, expected)
+    agent = Agent(loop, hosts, root, member, names, timeout, int.from_bytes(os.urandom(6), "big"), log)
+    service.living = agent.roll.addresses
+    service.views["fleet"] = lambda: plain(agent.view())
+    zones = service.instance.facts.zones
+
+    def say() -> None:
+        joined = Counter(zones[poll.record.zone] for poll in service.polls.values())
+        agent.say(proxies=joined.total(), zones=dict(sorted(joined.items())))
+        loop.after(SAY_EVERY, say)
+
+    say()
+    return agent
--- a/driftshed/core/messages.py
+++ b/driftshed/core/messages.py
@@ -155,6 +155,7 @@
     fresh: bool = True
     run: str | None = None
     version: Count = 0
+    term: Count = 0  # rises with each join of this proxy, wherever it joins
 
 
 class JoinAnswer(Struct):
@@ -164,6 +165,7 @@
     operations: list[str]
     wait_most: float
     report_period: float
+    supervisors: list[str] = []  # where else a proxy may join: "address:port" of the living ones
 
 
 class ServerReport(Struct, forbid_unknown_fields=True):
--- a/driftshed/proxy/command.py
+++ b/driftshed/proxy/command.py
@@ -13,6 +13,7 @@
 from driftshed.core.messages import BadName, server_id
 from driftshed.net.http import Bounds
 from driftshed.net.loop import Loop
+from driftshed.proxy.follow import HEARS_WITHIN
 from driftshed.proxy.forward import Limits
 from driftshed.proxy.whole import Place, Proxy
 from driftshed.supervisor.flags import fact_options, option, start_facts
@@ -44,6 +45,7 @@
 @option("supervisor", "follows", multiple=True, required=True, help="address:port; several in the order of choice")
 @option("standing", multiple=True, help="address:port of a server to start with; several")
 @option("source", type=click.STRING, default=None, help="address that connections are made from")
+@option("hears-within", type=click.FloatRange(0.5, 600), default=HEARS_WITHIN, help="seconds to give a silent one up")
 @option("seed", type=click.IntRange(0, 2**63 - 1), default=1, help="of this proxy's chance")
 @option("clients", type=click.IntRange(1, 100000), default=8192, help="connections of clients")
 @option("invocations", type=click.IntRange(1, 1000000), default=10000, help="under way at the most")
@@ -56,8 +58,8 @@
 @fact_options
 def proxy(
     listen: str, shared: bool, number: int, zone: str, rate: float, follows: tuple[str, ...],
-    standing: tuple[str, ...], source: str | None, seed: int, clients: int, invocations: int, body_bytes: int,
-    server_connections: int, connecting: int, trace: Path | None, log_form: str, log_level: str, **given: object,
+    standing: tuple[str, ...], source: str | None, hears_within: float, seed: int, clients: int, invocations: int,
+    body_bytes: int, server_connections: int, connecting: int, trace: Path | None, log_form: str, log_level: str, **given: object,
 ) -> None:  # fmt: skip
     """Forwards clients' invocations to servers as supervisors say. Its first line says where it listens."""
     facts = start_facts(given)
@@ -68,7 +70,7 @@
     loop = Loop()
     loop.on_error = lambda error: log("fault", level="error", error=f"{type(error).__name__}: {error}")
     addresses(standing, "standing")
-    place = Place(number, zone, rate, address, addresses(follows, "supervisor"), list(standing), source)
+    place = Place(number, zone, rate, address, addresses(follows, "supervisor"), list(standing), source, hears_within)
     limits = Limits(invocations, server_connections, connecting)
     bounds = Bounds(body_bytes=body_bytes, connections=clients)
     try:
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -2,22 +2,37 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from random import Random
 
 import msgspec
 
-from driftshed.core.messages import Changes, Join, JoinAnswer, OperationReport, Report, ServerReport, encode
+from driftshed.core.messages import (
+    BadName,
+    Changes,
+    Join,
+    JoinAnswer,
+    OperationReport,
+    Report,
+    ServerReport,
+    encode,
+    server_id,
+)
 from driftshed.net.http import SOCKETS, Answer, Transport
 from driftshed.net.loop import Loop
 from driftshed.proxy.tables import Tables, TurnedDown
 
 CHANGES, JOINED = msgspec.json.Decoder(Changes), msgspec.json.Decoder(JoinAnswer)
-POLL, GRACE, JOIN_WITHIN = 10.0, 2.0, 2.0  # seconds: a poll waits, its answer may be late, a join takes at most
+HEARS_WITHIN, GRACE_SHARE = 12.0, 1 / 6  # seconds until a silent supervisor is given up; of them its answer may be late
+GRACE, JOIN_WITHIN = 2.0, 2.0  # seconds: an answer may be late, a join takes at most
 AGAIN, AGAIN_MOST = 0.1, 2.0  # seconds before dialling again: doubling, each drawn up to double
+MOST_SUPERVISORS = 64  # that are known at a time
 KEPT_REPORTS = 20  # periods whose sums are kept while nobody listens
 MOST_SERVERS = 4096  # in one report
 
+TERM = re.compile(rb'"term":(\d{1,10})')
+
 Log = Callable[..., object]
 
 
@@ -74,8 +89,11 @@
     def __init__(
         self, loop: Loop, number: int, zone: str, rate: float, supervisors: list[tuple[str, int]], tables: Tables,
         sums: Sums, random: Random, log: Log, source: str | None = None, period: float = 0.5,
-        transport: Transport = SOCKETS,
+        transport: Transport = SOCKETS, hears_within: float = HEARS_WITHIN,
     ) -> None:  # fmt: skip
+        self.poll = hears_within * (1 - GRACE_SHARE)  # seconds that a poll waits
+        self.grace = hears_within - self.poll
+        self.given, self.term = supervisors, 0  # the term rises with each join, wherever it goes
         self.loop, self.number, self.zone, self.rate = loop, number, zone, rate
         self.addresses, self.tables, self.sums, self.random, self.log = supervisors, tables, sums, random, log
         self.source, self.period, self.transport = source, period, transport
@@ -92,12 +110,14 @@
         self.control = self.transport.client(self.loop, address, self.source, idle_most=1)
         self.reports = self.transport.client(self.loop, address, self.source, idle_most=1)
         fresh = self.tables.run is None
-        join = Join(self.zone, self.rate, fresh, self.tables.run, self.tables.version)
+        self.term += 1
+        join = Join(self.zone, self.rate, fresh, self.tables.run, self.tables.version, self.term)
         path = f"/v1/proxies/{self.number}/join"
         self.control.call("POST", path, encode(join), self._joined, JOIN_WITHIN)
 
-    def _again(self, why: str) -> None:
-        """Dials again after a while: another supervisor if there is one, since this one did not answer."""
+    def _again(self, why: str, elsewhere: bool = False) -> None:
+        """Dials again after a while: another supervisor if there is one, since this one did not answer; at once
+        `elsewhere` where this one stops or is silent, since a connection that is merely broken may stand again."""
         if self.stopped:
             return
         if self.stream:
@@ -107,15 +127,18 @@
         self.reports.close()
         wait = min(AGAIN_MOST, AGAIN * 2**self.failed) * self.random.uniform(1, 2)
         self.failed += 1
-        if self.failed > 1:
+        if self.failed > 1 or elsewhere:
             self.at = (self.at + 1) % len(self.addresses)
         self.loop.after(wait, self._dial)
 
     def _joined(self, answer: Answer) -> None:
-        if answer.status == 409:
+        over = TERM.search(answer.body) if answer.status == 409 else None
+        if over:  # we began anew, and what we were had joined there more often
+            self.term = int(over[1])
+        elif answer.status == 409:
             self.tables.run, self.tables.version = None, 0  # what it holds is not known there
         if answer.status != 200:
-            self._again(answer.error or f"join: {answer.status}")
+            self._again(answer.error or f"join: {answer.status}", answer.error == "late" or answer.status == 503)
             return
         try:
             joined = JOINED.decode(answer.body)
@@ -130,20 +153,36 @@
             return
         if joined.run != self.tables.run:
             self.tables.run, self.tables.version = joined.run, joined.version
+        self._learn(joined.supervisors)
         self.stream = joined.stream
         self.log("joined", run=joined.run, version=joined.version)
         self._poll()
 
+    def _learn(self, told: list[str]) -> None:
+        """Whom else to dial, as the one that answers says; the one that it is on stays the first."""
+        here, others = self.addresses[self.at], []
+        for text in told[:MOST_SUPERVISORS]:
+            try:
+                server_id(text)
+            except BadName:
+                continue
+            host, _, port = text.rpartition(":")
+            others.append((host, int(port)))
+        others = [each for each in dict.fromkeys([*others, *self.given]) if each != here]
+        self.random.shuffle(others)  # Guards against all that lose one supervisor dialling the same next one.
+        if told:
+            self.addresses, self.at = [here, *others], 0
+
     def _poll(self) -> None:
         version = self.tables.version
         if self.message:
             self.message(self.loop.clock(), f"{self.stream}/{version}/applied", True)
-        path = f"/v1/proxies/{self.number}/changes?stream={self.stream}&after={version}&wait={POLL}"
-        self.control.call("GET", path, b"", self._told, POLL + GRACE)
+        path = f"/v1/proxies/{self.number}/changes?stream={self.stream}&after={version}&wait={self.poll}"
+        self.control.call("GET", path, b"", self._told, self.poll + self.grace)
 
     def _told(self, answer: Answer) -> None:
         if answer.status != 200:
-            self._again(answer.error or f"poll: {answer.status}")
+            self._again(answer.error or f"poll: {answer.status}", answer.error == "late" or answer.status == 503)
             return
         try:
             changes = CHANGES.decode(answer.body)
--- a/driftshed/proxy/whole.py
+++ b/driftshed/proxy/whole.py
@@ -8,7 +8,7 @@
 from driftshed import interface as face
 from driftshed.net.http import SOCKETS, Bounds, Transport
 from driftshed.net.loop import Timers
-from driftshed.proxy.follow import Follower, Log, Sums
+from driftshed.proxy.follow import HEARS_WITHIN, Follower, Log, Sums
 from driftshed.proxy.forward import Forwarder, Limits
 from driftshed.proxy.tables import Tables
 
@@ -24,6 +24,7 @@
     supervisors: list[tuple[str, int]]
     standing: list[str]
     source: str | None = None
+    hears_within: float = HEARS_WITHIN  # seconds until a silent supervisor is given up
 
 
 class Proxy:
@@ -46,7 +47,7 @@
         )  # fmt: skip
         self.follower = Follower(
             loop, place.number, place.zone, place.rate, place.supervisors, self.tables, self.sums, random, log,
-            place.source, facts.report_period, transport,
+            place.source, facts.report_period, transport, place.hears_within,
         )  # fmt: skip
         self.follower.on_tables = self.forwarder.follow
 
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -41,11 +41,17 @@
 @option("session-timeout", type=click.FloatRange(0.1, 60), default=6.0, help="seconds of silence that lapse a session")
 @option("lapse-hold", type=click.FloatRange(0, 3600), default=4.0, help="seconds that a lapsed server is held")
 @option("lapse-hold-most", type=click.FloatRange(0, 86400), default=60.0, help="seconds that a mass lapse is held")
+@option("fleet-connect", default="", help="127.0.0.1:PORT,... of a store by which supervisors know each other")
+@option("fleet-root", default="/driftshed/fleet", help="path that the fleet's nodes lie under")
+@option("name", default="", help="this supervisor's name in the fleet, the same at each start")
+@option("expected", default="", help="NAME,... of all supervisors of the fleet, this one's among them")
+@option("fleet-timeout", type=click.FloatRange(0.1, 60), default=6.0, help="seconds of silence that end its session")
 @fact_options
 def supervise(
     listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
     log_level: str, trace: Path | None, trace_size: float, trace_age: float, trace_fsync: float, connect: str,
-    root: str, session_timeout: float, lapse_hold: float, lapse_hold_most: float, **given: object,
+    root: str, session_timeout: float, lapse_hold: float, lapse_hold_most: float, fleet_connect: str,
+    fleet_root: str, name: str, expected: str, fleet_timeout: float, **given: object,
 ) -> None:  # fmt: skip
     """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
     host, _, port = listen.rpartition(":")
@@ -77,6 +83,13 @@
         )  # fmt: skip
         service.followed, instance.on_answered = connect, follower.answered
 
+    agent = None
+    if fleet_connect:  # Not imported else: a supervisor by itself needs nothing of it.
+        from driftshed.coordination.taking_part import take_part
+
+        agent = take_part(loop, service, hosts_of(fleet_connect, "fleet-connect"), check_root(fleet_root), name,
+                          expected, fleet_timeout, log)  # fmt: skip
+
     writer = None
     if trace is not None:
         try:
@@ -92,6 +105,8 @@
 
     def stop(number: int) -> None:
         log("stopping", signal=signal.Signals(number).name)
+        if agent is not None:
+            agent.leave()
         service.stop()
 
     loop.on_signals((signal.SIGTERM, signal.SIGINT), stop)
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -50,6 +50,12 @@
         self.timer: Timer | None = None
         self.turn_due = False
         self.refused = 0
+        self.terms: dict[int, int] = {}  # the highest term that each proxy has joined with
+        self.living: Callable[[], list[str]] = lambda: []  # addresses of the supervisors that are there
+        self.views: dict[str, Callable[[], object]] = {
+            "tables": self._tables, "servers": self._servers, "proxies": self._proxies, "roster": self._roster,
+            "channel": self._channel,
+        }  # fmt: skip
         self.followed = ""  # where the list comes from, unless it is pushed
         self.began = loop.clock()
         # Called with each answer to a poll that tells something, and with each poll that says what is applied.
@@ -124,18 +130,16 @@
                 return self._leave(request, proxy)
             if parts[3] in ("changes", "report", "join", "leave"):
                 raise Refused(405, f"{method} is not a way to call {request.path}")
-        views = {"tables": self._tables, "servers": self._servers, "proxies": self._proxies, "roster": self._roster,
-                 "channel": self._channel}  # fmt: skip
         if (method, parts) == ("POST", ["v1", "roster"]):
             if self.followed:
                 raise Refused(409, f"the list is followed at {self.followed}; push none, or leave --roster-connect out")
             news = self._body(request, RosterNews)
             self.hear_roster(news)
             return request.answer(200, encode({"version": news.version}))
-        if len(parts) == 2 and parts[0] == "v1" and parts[1] in views:
+        if len(parts) == 2 and parts[0] == "v1" and parts[1] in self.views:
             if method != "GET":
                 raise Refused(405, f"{method} is not a way to call {request.path}")
-            return request.answer(200, encode(views[parts[1]]()))
+            return request.answer(200, encode(self.views[parts[1]]()))
         raise Refused(404, f"there is nothing at {request.path[:200]}")
 
     @staticmethod
@@ -156,7 +160,13 @@
 
     def _join(self, request: Request, proxy: int) -> None:
         join = self._body(request, Join)
+        # Guards against a join that was held up on its way: it would replace the stream that the proxy is on now.
+        if join.term < self.terms.get(proxy, 0):
+            self.refused += 1
+            why = f"term {join.term} of proxy {proxy} is over: it has joined with {self.terms[proxy]}"
+            return request.answer(409, encode({"error": why, "term": self.terms[proxy]}))
         record, replaced = self.instance.join(proxy, join, self.loop.now)
+        self.terms[proxy] = join.term
         old = self.polls.pop(proxy, None)
         if old is not None:
             self._end_poll(old, 409, "replaced by a newer stream of this proxy")
@@ -168,7 +178,7 @@
         self._soon()
         answer = JoinAnswer(
             self.instance.hub.run, record.stream, record.acked, list(self.instance.operations), self.wait_most,
-            self.instance.facts.report_period,
+            self.instance.facts.report_period, self.living(),
         )  # fmt: skip
         request.answer(200, encode(answer))
 
