--- a/driftshed/coordination/command.py
+++ b/driftshed/coordination/command.py
@@ -17,8 +17,8 @@
 from driftshed.roster.command import check_root, hosts_of
 from driftshed.supervisor.flags import option
 
-CODES = """Exit code: 0 when all expected supervisors live, 1 when one does not, 2 on bad input, 3 when neither supervisor
-nor store answers, 4 when the supervisor takes part in no fleet."""
+CODES = """Exit code: 0 when all expected supervisors live, 1 when one does not, 2 on bad input, 3 when neither a
+supervisor nor the store answers, 4 when the supervisor takes part in no fleet."""
 
 
 @click.command(help=f"Shows the fleet, from one supervisor or from the store.\n\n{CODES}")
--- a/driftshed/coordination/taking_part.py
+++ b/driftshed/coordination/taking_part.py
@@ -34,11 +34,11 @@
 
 def take_part(
     loop: Timers, service: Service, hosts: list[tuple[str, int]], root: str, name: str, expected: str, timeout: float,
-    log: Callable[..., object],
+    log: Callable[..., object], advertise: str = "",
 ) -> Agent:  # fmt: skip
     """Joins the fleet. What the supervisor does by itself does not wait for it, and stays as it is without it."""
     host, port = service.address
-    member = Member(name, f"{host}:{port}", version("driftshed"))
+    member = Member(name, advertise or f"{host}:{port}", version("driftshed"))
     names = roll_of(name, expected)
     agent = Agent(loop, hosts, root, member, names, timeout, int.from_bytes(os.urandom(6), "big"), log)
     service.living = agent.roll.addresses
--- a/driftshed/proxy/command.py
+++ b/driftshed/proxy/command.py
@@ -59,7 +59,8 @@
 def proxy(
     listen: str, shared: bool, number: int, zone: str, rate: float, follows: tuple[str, ...],
     standing: tuple[str, ...], source: str | None, hears_within: float, seed: int, clients: int, invocations: int,
-    body_bytes: int, server_connections: int, connecting: int, trace: Path | None, log_form: str, log_level: str, **given: object,
+    body_bytes: int, server_connections: int, connecting: int, trace: Path | None, log_form: str, log_level: str,
+    **given: object,
 ) -> None:  # fmt: skip
     """Forwards clients' invocations to servers as supervisors say. Its first line says where it listens."""
     facts = start_facts(given)
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -43,6 +43,7 @@
 @option("lapse-hold-most", type=click.FloatRange(0, 86400), default=60.0, help="seconds that a mass lapse is held")
 @option("fleet-connect", default="", help="127.0.0.1:PORT,... of a store by which supervisors know each other")
 @option("fleet-root", default="/driftshed/fleet", help="path that the fleet's nodes lie under")
+@option("advertise", default="", help="address:port that proxies of others are told; that of --listen unless given")
 @option("name", default="", help="this supervisor's name in the fleet, the same at each start")
 @option("expected", default="", help="NAME,... of all supervisors of the fleet, this one's among them")
 @option("fleet-timeout", type=click.FloatRange(0.1, 60), default=6.0, help="seconds of silence that end its session")
@@ -51,7 +52,7 @@
     listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
     log_level: str, trace: Path | None, trace_size: float, trace_age: float, trace_fsync: float, connect: str,
     root: str, session_timeout: float, lapse_hold: float, lapse_hold_most: float, fleet_connect: str,
-    fleet_root: str, name: str, expected: str, fleet_timeout: float, **given: object,
+    fleet_root: str, advertise: str, name: str, expected: str, fleet_timeout: float, **given: object,
 ) -> None:  # fmt: skip
     """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
     host, _, port = listen.rpartition(":")
@@ -88,7 +89,7 @@
         from driftshed.coordination.taking_part import take_part
 
         agent = take_part(loop, service, hosts_of(fleet_connect, "fleet-connect"), check_root(fleet_root), name,
-                          expected, fleet_timeout, log)  # fmt: skip
+                          expected, fleet_timeout, log, advertise)  # fmt: skip
 
     writer = None
     if trace is not None:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,162 @@
+"""Real processes of a store, supervisors and proxies, with faults on every way between them."""
+
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from driftshed.day.between import BACK, FORTH
+from driftshed.day.fleet import FleetStage
+
+TIMEOUT = 1.5
+
+
+@pytest.fixture
+def stage(tmp_path):
+    stage = FleetStage(tmp_path, supervisors=3, proxies=6, timeout=TIMEOUT)
+    try:
+        stage.open()
+        everybody_up(stage)
+        yield stage
+    finally:
+        stage.close()
+
+
+def everybody_up(stage) -> None:
+    living = dict.fromkeys(stage.names, "living")
+    stage.until(lambda: all(stage.states(name) == living for name in stage.names))
+    stage.until(lambda: served(stage) == set(range(len(stage.proxies))))
+
+
+def served(stage, names=None) -> set[int]:
+    return set().union(*(stage.joined(name) for name in names or stage.names))
+
+
+def test_a_killed_supervisor_is_known_and_its_proxies_go_to_the_living(stage):
+    lost = stage.joined("s0")
+    assert lost
+    stage.supervisors["s0"].kill()
+    assert stage.until(lambda: served(stage, ("s1", "s2")) == set(range(6)), 20) < 8
+    stage.until(lambda: stage.states("s1")["s0"] == "silent" and stage.states("s2")["s0"] == "silent", 20)
+    moved = {name: stage.joined(name) & lost for name in ("s1", "s2")}
+    stage.supervisors["s0"].start()  # it comes back and pulls nobody
+    stage.supervisors["s0"].await_listening()
+    everybody_up(stage)
+    assert stage.get("s0", "fleet")["incarnation"] == 2
+    assert all(stage.joined(name) >= gone for name, gone in moved.items()) and not stage.joined("s0")
+
+
+def test_one_that_is_stopped_longer_than_its_lease_is_left_and_joins_again(stage):
+    stage.supervisors["s1"].signal(signal.SIGSTOP)
+    stage.until(lambda: served(stage, ("s0", "s2")) == set(range(6)), 20)
+    stage.until(lambda: stage.states("s0")["s1"] == "silent", 20)
+    stage.supervisors["s1"].signal(signal.SIGCONT)
+    everybody_up(stage)
+    assert stage.get("s1", "fleet")["lease"] is not None
+
+
+@pytest.mark.parametrize("forth, back", [(True, True), (True, False), (False, True)])
+def test_one_cut_off_from_the_store_loses_its_lease_and_keeps_its_proxies(stage, forth, back):
+    own = stage.joined("s2")
+    stage.do(lambda: stage.to_store["s2"].hold(forth, back))
+    stage.until(lambda: stage.get("s2", "fleet")["lease"] is None, 20)
+    stage.until(lambda: stage.states("s0")["s2"] == "silent", 20)
+    assert stage.joined("s2") == own
+    stage.do(stage.to_store["s2"].release)
+    everybody_up(stage)
+    stage.until(lambda: stage.get("s2", "fleet")["lease"] is not None, 20)
+
+
+def test_one_cut_off_from_its_proxies_is_left_by_them_and_still_lives(stage):
+    stage.do(stage.to_proxies["s0"].hold)
+    stage.until(lambda: served(stage, ("s1", "s2")) == set(range(6)), 20)
+    assert stage.states("s1")["s0"] == "living"
+    stage.do(stage.to_proxies["s0"].release)
+
+
+@pytest.mark.parametrize("way", [FORTH, BACK])
+def test_requests_and_answers_that_are_lost_on_the_way_to_the_store_change_nothing(stage, way):
+    for name in stage.names:
+        stage.to_store[name].lose[way] = 3
+    stage.until(lambda: all(len(each.lost) == 3 for each in stage.to_store.values()), 20)
+    everybody_up(stage)
+    assert all(stage.get(name, "fleet")["incarnation"] == 1 for name in stage.names)
+
+
+def test_a_store_that_is_killed_and_comes_back_changes_nobody(stage):
+    before = {name: stage.joined(name) for name in stage.names}
+    stage.store.kill()
+    stage.until(lambda: all(stage.get(name, "fleet")["lease"] is None for name in stage.names), 20)
+    assert {name: stage.joined(name) for name in stage.names} == before
+    stage.store.start()
+    stage.store.await_listening()
+    everybody_up(stage)
+    stage.until(lambda: all(stage.get(name, "fleet")["lease"] is not None for name in stage.names), 20)
+    assert {name: stage.joined(name) for name in stage.names} == before
+
+
+def test_a_second_process_of_a_name_fences_the_first_which_says_so(stage):
+    first = stage.supervisors["s0"]
+    command = list(first.command)
+    command[command.index("--listen") + 1] = command[command.index("--listen") + 1].replace(":7000", ":7001")
+    second = type(first)(command, first.log.with_name("second.log"))
+    second.start()
+    try:
+        second.await_listening()
+        stage.until(lambda: any(line["event"] == "fenced" for line in first.events()), 20)
+        stage.until(lambda: stage.get("s0", "fleet")["standing"].startswith("fenced"), 20)
+        assert stage.get("s0", "fleet")["lease"] is None
+        stage.until(lambda: stage.states("s1")["s0"] == "living", 20)
+    finally:
+        second.end()
+
+
+def test_a_stop_in_peace_hands_its_proxies_over(stage):
+    own = stage.joined("s1")
+    assert own
+    stage.supervisors["s1"].signal(signal.SIGTERM)
+    assert stage.until(lambda: served(stage, ("s0", "s2")) == set(range(6)), 20) < 3
+    assert stage.states("s0")["s1"] == "silent"
+
+
+def test_the_command_shows_the_fleet_from_a_supervisor_and_from_the_store(stage):
+    def fleet(*flags):
+        return subprocess.run([sys.executable, "-m", "driftshed.cli", "fleet", *flags], capture_output=True, text=True,
+                              timeout=30)  # fmt: skip
+
+    host, port = stage.addresses["s0"]
+    from_one, store = f"{host}:{port}", ":".join(map(str, stage.store_address))
+    shown = fleet("--supervisor", from_one)
+    assert shown.returncode == 0 and "s2" in shown.stdout and "living" in shown.stdout
+    views = [json.loads(fleet(*flags, "--json").stdout) for flags in
+             (("--supervisor", from_one), ("--fleet-connect", store))]  # fmt: skip
+    assert [[(row["name"], row["state"]) for row in view["members"]] for view in views] == [
+        [(name, "living") for name in stage.names]] * 2  # fmt: skip
+    stage.supervisors["s2"].kill()
+    stage.until(lambda: stage.states("s0")["s2"] == "silent", 20)
+    assert fleet("--supervisor", from_one).returncode == 1
+    assert fleet("--fleet-connect", store, "--expected", "s0,s1,s2").returncode == 1
+    nobody = fleet("--supervisor", f"{host}:7999", "--within", "0.5")
+    assert nobody.returncode == 3 and "ask another one" in nobody.stderr
+    assert fleet().returncode == 2
+
+
+def test_a_supervisor_in_no_fleet_says_so_and_bad_flags_name_the_remedy():
+    run = [sys.executable, "-m", "driftshed.cli", "supervise", "--operation", "look:objective=1,timeout=2,value=1"]
+    alone = subprocess.Popen(run, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    try:
+        address = alone.stdout.readline().split()[1]
+        shown = subprocess.run([sys.executable, "-m", "driftshed.cli", "fleet", "--supervisor", address],
+                               capture_output=True, text=True, timeout=30)  # fmt: skip
+        assert shown.returncode == 4 and "--fleet-connect" in shown.stderr
+    finally:
+        alone.terminate()
+        alone.wait(10)
+        alone.stdout.close()
+    for flags, said in ((("--name", "a"), "--expected"), (("--name", "a/b", "--expected", "a/b"), "--name"),
+                        (("--name", "a", "--expected", "a,b,b"), "--expected")):  # fmt: skip
+        bad = subprocess.run([*run, "--fleet-connect", "127.0.0.1:1", *flags], capture_output=True, text=True,
+                             timeout=30)  # fmt: skip
+        assert bad.returncode == 2 and said in bad.stderr
