--- a/driftshed/coordination/command.py
+++ b/driftshed/coordination/command.py
@@ -12,10 +12,10 @@
 from rich.console import Console
 from rich.table import Table
 
+from driftshed.common.options import option
 from driftshed.coordination.view import Looker, plain, waits_for
 from driftshed.net.loop import Loop
 from driftshed.roster.command import check_root, hosts_of
-from driftshed.supervisor.flags import option
 
 CODES = """Exit code: 0 when all expected supervisors live, 1 when one does not, 2 on bad input, 3 when neither a
 supervisor nor the store answers, 4 when the supervisor takes part in no fleet."""
--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -9,11 +9,11 @@
 
 import click
 
+from driftshed.common.options import option
 from driftshed.day.judge import judge
 from driftshed.day.script import BadScript, load_script
 from driftshed.day.stage import play
 from driftshed.day.tamper import RULES
-from driftshed.supervisor.flags import option
 
 
 @click.command()
--- a/driftshed/day/judge.py
+++ b/driftshed/day/judge.py
@@ -18,9 +18,9 @@
 from driftshed.day.script import Cut, Kill, Script
 from driftshed.day.stage import Cast
 from driftshed.day.traffic import Exchange, read_traffic
-from driftshed.lab.emulator import Machine
 from driftshed.roster import jute
 from driftshed.roster.nodes import Said
+from driftshed.standins.emulator import Machine
 
 FROM = 1.0  # seconds; service counts from here on
 SLACK = 1e-3  # seconds: what clocks and rounding may differ
--- a/driftshed/day/script.py
+++ b/driftshed/day/script.py
@@ -12,7 +12,7 @@
 from msgspec import Meta, Struct
 
 from driftshed import interface as face
-from driftshed.lab.emulator import Machine
+from driftshed.standins.emulator import Machine
 from driftshed.supervisor.flags import facts_of
 
 At = Annotated[float, Meta(ge=0, le=600)]
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -18,10 +18,10 @@
 from driftshed.day.recorder import ASK, CONTROL, ROSTER, STORE, WORK, Recorder
 from driftshed.day.relay import Relay
 from driftshed.day.tamper import Tamper
-from driftshed.lab.emulator import Ill, ServerStandin
 from driftshed.net.http import HttpClient
 from driftshed.net.loop import Loop
 from driftshed.standins.client import ClientStandin
+from driftshed.standins.emulator import Ill, ServerStandin
 from driftshed.standins.roster import RosterStandin, StoreRoster
 
 SETTLE = 2.5  # seconds after the last arrival, for what is under way
--- a/driftshed/lab/command.py
+++ b/driftshed/lab/command.py
@@ -12,6 +12,7 @@
 import click
 import msgspec
 
+from driftshed.common.options import option
 from driftshed.lab.compare import compare
 from driftshed.lab.experiment import Experiment, Variant, perform
 from driftshed.lab.hunt import hunt as search
@@ -19,7 +20,6 @@
 from driftshed.lab.run import Outcome
 from driftshed.lab.scenario import SIZES, BadScenario, bare_day, drawn, load_scenario, write_scenario
 from driftshed.lab.store import Job, Row, Store
-from driftshed.supervisor.flags import option
 
 STORE = Path("lab.sqlite")
 THERE = click.Path(exists=True, dir_okay=False, path_type=Path)
--- a/driftshed/lab/world.py
+++ b/driftshed/lab/world.py
@@ -12,11 +12,11 @@
 from driftshed.core.messages import ListedServer
 from driftshed.day.stage import ASK_PORT, Cast
 from driftshed.lab import scenario as says
-from driftshed.lab.emulator import Ill, ServerStandin
 from driftshed.lab.load import Load, draw
 from driftshed.net.http import Answer, Transport
 from driftshed.net.loop import Timers
 from driftshed.proxy.whole import Place
+from driftshed.standins.emulator import Ill, ServerStandin
 from driftshed.standins.roster import RosterStandin, StoreRoster
 
 SETTLE = 2.5  # seconds after the last arrival, for what is under way
--- a/driftshed/proxy/command.py
+++ b/driftshed/proxy/command.py
@@ -10,14 +10,15 @@
 
 import click
 
+from driftshed.common.logs import LEVELS, make_log
+from driftshed.common.options import option
 from driftshed.core.messages import BadName, server_id
 from driftshed.net.http import Bounds
 from driftshed.net.loop import Loop
 from driftshed.proxy.follow import HEARS_WITHIN
 from driftshed.proxy.forward import Limits
 from driftshed.proxy.whole import Place, Proxy
-from driftshed.supervisor.flags import fact_options, option, start_facts
-from driftshed.supervisor.logs import LEVELS, make_log
+from driftshed.supervisor.flags import fact_options, start_facts
 from driftshed.trace.writer import TraceWriter, tend_trace
 
 
--- a/driftshed/roster/command.py
+++ b/driftshed/roster/command.py
@@ -9,14 +9,14 @@
 
 import click
 
+from driftshed.common.logs import LEVELS, make_log
+from driftshed.common.options import option
 from driftshed.core.messages import BadName, server_id
 from driftshed.net.loop import Loop
 from driftshed.roster.announce import Announcer, Standing
 from driftshed.roster.log import Damaged, Log
 from driftshed.roster.membership import Announced
 from driftshed.roster.serve import StoreServer
-from driftshed.supervisor.flags import option
-from driftshed.supervisor.logs import LEVELS, make_log
 
 
 def hosts_of(text: str, flag: str) -> list[tuple[str, int]]:
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -10,14 +10,15 @@
 
 import click
 
+from driftshed.common.logs import LEVELS, make_log
+from driftshed.common.options import option
 from driftshed.core.instance import Instance
 from driftshed.net.http import Bounds
 from driftshed.net.loop import Loop
 from driftshed.roster.command import check_root, hosts_of
 from driftshed.roster.follow import RosterFollower
 from driftshed.roster.membership import Membership
-from driftshed.supervisor.flags import fact_options, option, start_facts
-from driftshed.supervisor.logs import LEVELS, make_log
+from driftshed.supervisor.flags import fact_options, start_facts
 from driftshed.supervisor.service import Service
 from driftshed.trace.recording import Recording
 from driftshed.trace.writer import TraceWriter, tend_trace
--- a/driftshed/supervisor/flags.py
+++ b/driftshed/supervisor/flags.py
@@ -11,6 +11,7 @@
 from msgspec import Meta, Struct
 
 from driftshed import interface as face
+from driftshed.common.options import option
 
 Span = Annotated[float, Meta(gt=0, le=86400)]
 Part = Annotated[float, Meta(ge=0, le=1)]
@@ -148,15 +149,6 @@
 }  # fmt: skip
 
 
-def envvar(name: str) -> str:
-    return "DRIFTSHED_" + name.upper().replace("-", "_")
-
-
-def option(name: str, *names: str, **more: object) -> Callable:
-    """A click option that is also read from the environment."""
-    return click.option(f"--{name}", *names, envvar=envvar(name), show_default=True, **more)
-
-
 def fact_options(command: Callable) -> Callable:
     """Adds the flags of the start facts to a command."""
     for flag in reversed(FLAGS):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,7 +16,6 @@
 
 from driftshed.cli import main
 from driftshed.lab.compare import bootstrap, compare
-from driftshed.lab.emulator import Ill, Machine, ServerStandin
 from driftshed.lab.grounds import VirtualGround
 from driftshed.lab.hunt import breaks_same, keep, mutate, shrink
 from driftshed.lab.load import Lag, draw
@@ -45,6 +44,7 @@
 from driftshed.lab.store import Job, Row, Store
 from driftshed.lab.virtual import Network, Seat, VirtualLoop, Way
 from driftshed.lab.world import World
+from driftshed.standins.emulator import Ill, Machine, ServerStandin
 
 # ---- virtual time and network ----------------------------------------------------------------------------------
 
