--- a/driftshed/core/messages.py
+++ b/driftshed/core/messages.py
@@ -155,7 +155,6 @@
     fresh: bool = True
     run: str | None = None
     version: Count = 0
-    term: Count = 0  # rises with each join of this proxy, wherever it joins
 
 
 class JoinAnswer(Struct):
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -111,8 +111,9 @@
         self.reports = self.transport.client(self.loop, address, self.source, idle_most=1)
         fresh = self.tables.run is None
         self.term += 1
-        join = Join(self.zone, self.rate, fresh, self.tables.run, self.tables.version, self.term)
-        path = f"/v1/proxies/{self.number}/join"
+        join = Join(self.zone, self.rate, fresh, self.tables.run, self.tables.version)
+        # Not in the body: supervisors of before would turn down a field that they do not know.
+        path = f"/v1/proxies/{self.number}/join?term={self.term}"
         self.control.call("POST", path, encode(join), self._joined, JOIN_WITHIN)
 
     def _again(self, why: str, elsewhere: bool = False) -> None:
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -160,13 +160,19 @@
 
     def _join(self, request: Request, proxy: int) -> None:
         join = self._body(request, Join)
+        try:
+            term = int(dict(parse_qsl(request.query)).get("term", "0"))
+            if not 0 <= term < 2**32:
+                raise ValueError
+        except ValueError:
+            raise Refused(400, "term: a whole number below 2^32 is wanted") from None
         # Guards against a join that was held up on its way: it would replace the stream that the proxy is on now.
-        if join.term < self.terms.get(proxy, 0):
+        if term < self.terms.get(proxy, 0):
             self.refused += 1
-            why = f"term {join.term} of proxy {proxy} is over: it has joined with {self.terms[proxy]}"
+            why = f"term {term} of proxy {proxy} is over: it has joined with {self.terms[proxy]}"
             return request.answer(409, encode({"error": why, "term": self.terms[proxy]}))
         record, replaced = self.instance.join(proxy, join, self.loop.now)
-        self.terms[proxy] = join.term
+        self.terms[proxy] = term
         old = self.polls.pop(proxy, None)
         if old is not None:
             self._end_poll(old, 409, "replaced by a newer stream of this proxy")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -664,3 +664,26 @@
     assert followed.held.held == whole and follower.turned_down == 1
     until(followed.loop, lambda: follower.stream and followed.held.version)
     assert followed.held.held == whole
+
+
+def test_a_follower_that_began_anew_joins_above_the_terms_that_it_had(followed):
+    followed.roster(1, True, 1, 2)
+    followed.service.terms[3] = 41
+    follower = followed.follow()
+    until(followed.loop, lambda: len(followed.held.servers()) == 2)
+    assert follower.term == 42 and followed.service.terms[3] == 42
+
+
+def test_a_follower_learns_of_the_living_and_gives_a_silent_one_up_for_them(followed):
+    followed.roster(1, True, 1, 2)
+    silent = Listener(followed.loop, ("127.0.0.1", 0), lambda stream: None)
+    name = "{}:{}".format(*silent.address)
+    followed.service.living = lambda: [name, "no address", "{}:{}".format(*followed.service.address)]
+    follower = followed.follow()
+    until(followed.loop, lambda: follower.stream)
+    assert follower.addresses == [followed.service.address, silent.address] and follower.at == 0
+    follower._again("poll: late", elsewhere=True)
+    assert follower.addresses[follower.at] == silent.address
+    until(followed.loop, lambda: follower.stream, 20.0)  # which does not answer a join either
+    assert follower.addresses[0] == followed.service.address
+    silent.close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -303,3 +303,23 @@
         process.wait()
         process.stdout.close()
         process.stderr.close()
+
+
+def test_a_join_that_was_held_up_does_not_replace_the_present_stream(rig):
+    """What is told of the term lets a proxy that began anew go on above it."""
+    body = {"zone": "east", "rate": 5.0}
+    path = "/v1/proxies/3/join?term="
+    assert rig.call("POST", path + "7", body)[0] == 200
+    stream = rig.instance.hub.records[3].stream
+    status, answer = rig.call("POST", path + "6", body)
+    assert status == 409 and answer["term"] == 7 and "term 6" in answer["error"]
+    assert rig.instance.hub.records[3].stream == stream and rig.instance.hub.records[3].joined
+    assert rig.call("POST", path + "8", body)[0] == 200
+    assert rig.instance.hub.records[3].stream != stream
+    for bad in ("-1", "x", str(2**32)):
+        assert rig.call("POST", path + bad, body)[0] == 400
+
+
+def test_answers_to_joins_name_the_living(rig):
+    rig.service.living = lambda: ["127.0.0.1:7001", "127.0.0.1:7002"]
+    assert rig.join()[1]["supervisors"] == ["127.0.0.1:7001", "127.0.0.1:7002"]
