--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -616,3 +616,11 @@
     assert "msgspec" in loaded
     for name in ("structlog", "click", "numpy", "rich", "asyncio", "matplotlib", "zstandard"):
         assert f"'{name}'" not in loaded
+
+
+def test_run_loads_no_part_that_is_off_there():
+    code = "import sys, driftshed.node.__main__; print(*sorted(m for m in sys.modules if m.startswith('driftshed.')))"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+    parts = {name.split(".")[1] for name in loaded}
+    assert "node" in parts
+    assert not parts & {"coordination", "supervisor", "proxy", "roster", "trace", "lab", "day", "standins", "common"}
