--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -119,7 +119,6 @@
         dial: Callable[..., Stream] = dial, drift: float = DRIFT, pause: float | None = None,
     ) -> None:  # fmt: skip
         self.loop, self.root, self.log, self.timeout = loop, root, log, timeout
-        self.expected = expected
         self.lease, self.roll = Lease(timeout, drift, pause), Roll(expected, loop.clock())
         self.topics: dict[str, Topic] = {}
         self.gone: dict[str, int] = {}  # epochs of topics that were swept
@@ -129,7 +128,7 @@
         self.on_record: Callable[[Record], object] = lambda record: None
         self.on_roll: Callable[[], object] = lambda: None
         self.on_fenced: Callable[[], object] = lambda: None
-        self.written = self.looked_up = self.not_believed = 0
+        self.written = self.not_believed = 0
         self.client, self.zxid = None, 0
         self.members = Folder(self._ask, f"{root}/members", self._member, self._member_gone, self._roll_whole)
         self.records = Folder(self._ask, f"{root}/records", self._record, self._record_gone, self._records_whole,
@@ -489,7 +488,6 @@
 
     def _look_up(self, topic: Topic) -> None:
         """What happened is not known, or not as expected: the record itself tells."""
-        self.looked_up += 1
         topic.reading = True
         topic.busy = False
         self.records.read(topic.name) if topic.record is not None else self._read_new(topic)
--- a/driftshed/coordination/view.py
+++ b/driftshed/coordination/view.py
@@ -30,7 +30,6 @@
         self.records: dict[str, agreement.Record] = {}
         self.words: dict[str, list[agreement.Ballot]] = {}
         self.boxes: dict[str, Folder] = {}
-        self.missing = False
         self.members = Folder(self._ask, f"{root}/members", self._member, lambda node: None, self._look, self._none)
         self.folder = Folder(self._ask, f"{root}/records", self._record, lambda name: None, self._look, self._none)
         self.client = RosterClient(loop, hosts, 4.0, Random("look"), self._state, lambda event: self._event(event))
@@ -48,7 +47,6 @@
         self.client.ask(request, lambda error, result: then(error, result) if error != EXPIRED else None)
 
     def _none(self) -> None:
-        self.missing = True
         self._finish()
 
     def _member(self, node: str, data: bytes, stat: object) -> None:
--- a/driftshed/day/between.py
+++ b/driftshed/day/between.py
@@ -1,12 +1,11 @@
 """A relay between two parts that puts faults on their way: held one way or both, delayed, cut without a word, reset, a
-request or its answer lost. It knows whole messages (frames of the store's protocol, answers of HTTP), so that "done,
-but never heard" and "never done" both occur."""
+request or its answer lost. It knows whole messages (frames of the store's protocol), so that "done, but never
+heard" and "never done" both occur."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from driftshed.day.relay import _whole
 from driftshed.net.loop import Timers
 from driftshed.net.stream import Listener, Stream, dial
 
@@ -114,8 +113,3 @@
     def close(self) -> None:
         self.listener.close()
         self.reset()
-
-
-def whole_answer(data: bytes) -> int:
-    """The length of the first whole message of HTTP with a length; 0 while it is not whole."""
-    return _whole(data)
--- a/driftshed/day/fleet.py
+++ b/driftshed/day/fleet.py
@@ -6,7 +6,6 @@
 import os
 import queue
 import signal
-import subprocess
 import sys
 import threading
 import time
@@ -19,55 +18,30 @@
 
 from driftshed.core.messages import ListedServer, RosterNews, encode
 from driftshed.day.between import Between, whole_frame
-from driftshed.day.stage import free_net
+from driftshed.day.stage import Launched, free_net
 from driftshed.net.loop import Loop
 
 TURN = 0.01  # seconds between looks at what the relays are to do
 OPERATION = "look:objective=0.5,timeout=1.5,value=1,effect=idempotent"
 
 
-class FleetProcess:
-    """One sub-command of `driftshed`, at addresses that it keeps when it is started anew."""
+class FleetProcess(Launched):
+    """One that is started anew with the same command."""
 
-    def __init__(self, command: list[str], log: Path) -> None:
-        self.command, self.log = command, log
-        self.process: subprocess.Popen | None = None
+    def __init__(self, command: list[str], logs: Path) -> None:
+        super().__init__(logs)
+        self.command = command
 
     def start(self) -> None:
-        environment = {name: value for name, value in os.environ.items() if not name.startswith("DRIFTSHED_")}
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "driftshed.cli", *self.command],
-                                            stdout=subprocess.PIPE, stderr=log, env=environment)  # fmt: skip
-
-    def await_listening(self) -> None:
-        line = self.process.stdout.readline().decode()
-        if not line.startswith("listening"):
-            raise RuntimeError(f"a process did not start: {self.log.read_text()[-2000:]}")
-
-    def signal(self, number: int) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+        self._launch([sys.executable, "-m", "driftshed.cli", *self.command])
 
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
         self.end()
 
-    def end(self, within: float = 5.0) -> int | None:
-        if self.process is None:
-            return None
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGTERM)
-        try:
-            self.process.wait(within)
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
-        self.process.stdout.close()
-        return self.process.returncode
-
     def events(self) -> list[dict]:
         """The lines of its log so far."""
-        return [msgspec.json.decode(line) for line in self.log.read_bytes().splitlines() if line.startswith(b"{")]
+        return [msgspec.json.decode(line) for line in self.logs.read_bytes().splitlines() if line.startswith(b"{")]
 
 
 class FleetStage:
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -78,23 +78,13 @@
     raise OSError("no free part of 127.0.0.0/8: too many days at once")
 
 
-class Process:
-    """A sub-command of `driftshed` as a process of its own, with the script's flags."""
+class Launched:
+    """A sub-command of `driftshed` as a process of its own; its log goes to the file `logs`."""
 
-    def __init__(self, script: says.Script, logs: Path, trace: Path | None) -> None:
-        self.script, self.logs, self.trace, self.operations = script, logs, trace, script.operations
+    def __init__(self, logs: Path) -> None:
+        self.logs = logs
         self.process: subprocess.Popen | None = None
 
-    def run(self, *command: str) -> None:
-        command = [sys.executable, "-m", "driftshed.cli", *command, "--log-level", "debug"]
-        for text in self.operations:
-            command += ["--operation", text]
-        for name, value in self.script.flags.items():
-            command += [f"--{name}", str(value)]
-        if self.trace:
-            command += ["--trace", str(self.trace)]
-        self._launch(command)
-
     def _launch(self, command: list[str]) -> None:
         environment = {name: value for name, value in os.environ.items() if not name.startswith("DRIFTSHED_")}
         with self.logs.open("ab") as log:
@@ -123,6 +113,24 @@
             self.process.stdout.close()
 
 
+class Process(Launched):
+    """One with the script's flags."""
+
+    def __init__(self, script: says.Script, logs: Path, trace: Path | None) -> None:
+        super().__init__(logs)
+        self.script, self.trace, self.operations = script, trace, script.operations
+
+    def run(self, *command: str) -> None:
+        command = [sys.executable, "-m", "driftshed.cli", *command, "--log-level", "debug"]
+        for text in self.operations:
+            command += ["--operation", text]
+        for name, value in self.script.flags.items():
+            command += [f"--{name}", str(value)]
+        if self.trace:
+            command += ["--trace", str(self.trace)]
+        self._launch(command)
+
+
 class SupervisorProcess(Process):
     """At an address that it keeps when it is started anew."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -101,7 +101,7 @@
     first = stage.supervisors["s0"]
     command = list(first.command)
     command[command.index("--listen") + 1] = command[command.index("--listen") + 1].replace(":7000", ":7001")
-    second = type(first)(command, first.log.with_name("second.log"))
+    second = type(first)(command, first.logs.with_name("second.log"))
     second.start()
     try:
         second.await_listening()
