--- a/driftshed/coordination/taking_part.py
+++ b/driftshed/coordination/taking_part.py
@@ -11,8 +11,10 @@
 
 from driftshed.coordination.agent import Agent
 from driftshed.coordination.members import BadMember, Member, check_name
+from driftshed.coordination.parting import apart
 from driftshed.coordination.view import plain
 from driftshed.net.loop import Timers
+from driftshed.net.stream import Stream, dial
 from driftshed.supervisor.service import Service
 
 SAY_EVERY = 2.0  # seconds between looks at what is to be said
@@ -34,13 +36,15 @@
 
 def take_part(
     loop: Timers, service: Service, hosts: list[tuple[str, int]], root: str, name: str, expected: str, timeout: float,
-    log: Callable[..., object], advertise: str = "",
+    log: Callable[..., object], advertise: str = "", seed: int | None = None, dial: Callable[..., Stream] = dial,
 ) -> Agent:  # fmt: skip
-    """Joins the fleet. What the supervisor does by itself does not wait for it, and stays as it is without it."""
+    """Joins the fleet; `seed` of chance, drawn unless given. What the supervisor does by itself does not wait for it,
+    and stays as it is without it."""
     host, port = service.address
     member = Member(name, advertise or f"{host}:{port}", version("driftshed"))
     names = roll_of(name, expected)
-    agent = Agent(loop, hosts, root, member, names, timeout, int.from_bytes(os.urandom(6), "big"), log)
+    seed = int.from_bytes(os.urandom(6), "big") if seed is None else seed
+    agent = Agent(loop, hosts, root, member, names, timeout, seed, log, dial)
     service.living = agent.roll.addresses
     service.views["fleet"] = lambda: plain(agent.view())
     zones = service.instance.facts.zones
@@ -52,3 +56,20 @@
 
     say()
     return agent
+
+
+def leave(agent: Agent, service: Service, done: Callable[[], object]) -> None:
+    """A stop in peace: says so, hands the proxies over at the pace of the others' channels, and goes; at once where
+    nobody else is there."""
+
+    def gone() -> None:
+        agent.leave()
+        done()
+
+    others = [each for each in agent.roll.addresses() if each != agent.chair.node.address]
+    if not others:
+        gone()
+        return
+    agent.say(state="leaving")
+    rate = service.instance.facts.lines_per_second
+    service.hand_over(lambda lines: apart(lines, rate, len(others)), gone)
--- /dev/null
+++ b/driftshed/day/accord.py
@@ -0,0 +1,168 @@
+"""Checkers of several supervisors from what passed on the sockets: one winner for each epoch, no order that rests on a
+lease that is over, no proxy that heeds two owners.
+
+What the store saw and said is taken at its own end of the ways with the faults; orders that rest on an agreement as
+they came to the rig (`rigged.py`); whom a proxy heeds from its polls, by which it says what it has applied."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+
+import msgspec
+from msgspec import Struct
+
+from driftshed.coordination import agreement
+from driftshed.day.recorder import CONTROL, ORDER, STORED
+from driftshed.day.traffic import said_by_store
+from driftshed.roster import jute
+
+FLEET_ROOT = "/driftshed/fleet"
+RULES = ("epochs", "leases", "owners")
+NEVER = float("inf")
+SLACK = 0.05  # seconds: what is on the way between two processes of the rig
+
+
+class Ordered(Struct):
+    """What a supervisor does on the strength of what was agreed: by topic its epoch and the proposal's token."""
+
+    name: str
+    incarnation: int
+    rests_on: dict[str, tuple[int, str]]
+
+
+ORDERED = msgspec.json.Decoder(Ordered)
+
+
+class _Written(Struct, frozen=True):
+    """A record as somebody read it, or as it was surely written."""
+
+    at: float
+    record: agreement.Record
+
+
+class Accord:
+    """`broken(rule, text)` is called for each break, `check(rule)` for each look."""
+
+    def __init__(self, kinds: dict[str, list], owner: Callable[[str], int], check: Callable, broken: Callable) -> None:
+        self.kinds, self.owner, self.check, self.broken = kinds, owner, check, broken
+        self.records: list[_Written] = []
+        # By start of a supervisor: when it had made its node, and when anybody was told that it is gone.
+        self.stays: dict[str, list[tuple[float, bool]]] = defaultdict(list)
+        for talk in kinds.get(STORED, []):
+            self._read(talk)
+
+    def judge(self) -> None:
+        self._judge_epochs()
+        self._judge_leases()
+        self._judge_owners()
+
+    def _read(self, talk: object) -> None:
+        folder, records, there = f"{FLEET_ROOT}/members", f"{FLEET_ROOT}/records/", set()
+        for at, request, result in said_by_store(talk):
+            path = getattr(request, "path", "")
+            if isinstance(request, jute.Event) and request.kind == jute.DELETED and path.startswith(f"{folder}/"):
+                self.stays[path.rpartition("/")[2]].append((at, False))
+            elif isinstance(request, jute.Create) and path.startswith(f"{folder}/"):
+                self.stays[path.rpartition("/")[2]].append((at, True))
+            elif isinstance(request, jute.GetChildren) and path == folder:
+                now = set(result[0])
+                for node in there - now:
+                    self.stays[node].append((at, False))
+                there = now
+            elif isinstance(request, jute.GetData) and path.startswith(records):
+                self._add(at, path, result[0])
+            elif isinstance(request, jute.SetData) and path.startswith(records):
+                self._add(at, path, request.data)
+            elif isinstance(request, jute.Multi) and not any(isinstance(each, int) for each in result):
+                for part in request.parts:
+                    if isinstance(part, jute.Create | jute.SetData) and part.path.startswith(records):
+                        self._add(at, part.path, part.data)
+
+    def _add(self, at: float, path: str, data: bytes) -> None:
+        topic = path.removeprefix(f"{FLEET_ROOT}/records/")
+        if "/" not in topic:
+            self.records.append(_Written(at, agreement.read_record(topic, data)))
+
+    def _judge_epochs(self) -> None:
+        """An epoch of the fleet has one proposal, and that one end."""
+        tokens, ends = {}, defaultdict(set)
+        for record in (each.record for each in self.records):
+            self.check("epochs")
+            if tokens.setdefault(record.epoch, record.token) != record.token:
+                self.broken("epochs", f"epoch {record.epoch} is both {tokens[record.epoch]} and {record.token}")
+            if record.state in ("settled", "void"):
+                ends[record.epoch].add(record.state)
+        for epoch, states in ends.items():
+            if len(states) > 1:
+                self.broken("epochs", f"epoch {epoch} was both settled and voided")
+        last: dict[tuple[str, str], int] = {}
+        for at, order in self._orders():
+            for topic, (epoch, token) in order.rests_on.items():
+                if epoch < last.get((order.name, topic), 0):
+                    self.broken("epochs", f"{order.name} went back to epoch {epoch} of {topic} at {at:.2f} s")
+                last[order.name, topic] = max(epoch, last.get((order.name, topic), 0))
+                if tokens.get(epoch) != token or "settled" not in ends[epoch]:
+                    self.broken("epochs", f"{order.name} acts at {at:.2f} s on {token}, which was never settled")
+
+    def _orders(self) -> Iterator[tuple[float, Ordered]]:
+        rows = [(each.asked_at, ORDERED.decode(each.asked)) for connection in self.kinds.get(ORDER, [])
+                for each in connection.exchanges if each.method == "POST" and each.asked]  # fmt: skip
+        yield from sorted(rows, key=lambda row: row[0])
+
+    def _judge_leases(self) -> None:
+        """Nothing is ordered by a start of a supervisor whose node somebody was told is gone, nor by an older start."""
+        highest: dict[str, int] = {}
+        for rows in self.stays.values():
+            rows.sort()
+        for at, order in self._orders():
+            self.check("leases")
+            node = f"{order.name}~{order.incarnation}"
+            made, left = NEVER, NEVER
+            for then, there in self.stays[node]:
+                if then < at - SLACK and there:
+                    made, left = then, NEVER
+                elif then < at - SLACK and then > made + SLACK:  # else it tells of one before
+                    left = min(left, then)
+            if left != NEVER:
+                self.broken("leases", f"{node} ordered at {at:.2f} s, gone since {left:.2f} s")
+            if order.incarnation < highest.get(order.name, 0):
+                self.broken("leases", f"{node} ordered at {at:.2f} s, after start {highest[order.name]} had")
+            highest[order.name] = max(order.incarnation, highest.get(order.name, 0))
+
+    def _judge_owners(self) -> None:
+        """The terms of a proxy's joins rise, and having heeded one it heeds none with a lower term."""
+        joins, polls, terms = defaultdict(list), defaultdict(list), {}
+        for connection in self.kinds.get(CONTROL, []):
+            owner = self.owner(connection.asked)
+            for each in connection.exchanges:
+                parts = each.path.split("/")
+                if len(parts) == 5 and parts[4] == "join" and each.status == 200:
+                    term = int(each.query.get("term", 0))
+                    stream = msgspec.json.decode(each.body)["stream"]
+                    terms[owner, stream] = term
+                    joins[parts[3]].append((each.answered_at, term))
+                elif len(parts) == 5 and parts[4] == "changes":
+                    polls[parts[3]].append((each.asked_at, owner, each.query.get("stream")))
+        for proxy, rows in joins.items():
+            highest = -1
+            for at, term in sorted(rows):
+                self.check("owners")
+                if term <= highest:
+                    self.broken("owners", f"proxy {proxy} was joined with term {term} at {at:.2f} s, after {highest}")
+                highest = max(highest, term)
+        for proxy, rows in polls.items():
+            highest = -1
+            for at, owner, stream in sorted(rows):
+                term = terms.get((owner, stream), -1)
+                if term < highest:
+                    self.broken("owners", f"proxy {proxy} heeds supervisor {owner} under term {term} at {at:.2f} s, "
+                                f"having heeded term {highest}")  # fmt: skip
+                highest = max(highest, term)
+
+
+def judge_accord(verdict, kinds: dict[str, list], owner: Callable[[str], int]) -> None:
+    """Adds the three rules to a verdict."""
+    for rule in RULES:
+        verdict.rules[rule] = {"checked": 0, "broken": 0}
+    Accord(kinds, owner, verdict.check, verdict.broken).judge()
--- a/driftshed/day/fleet.py
+++ b/driftshed/day/fleet.py
@@ -6,7 +6,6 @@
 import os
 import queue
 import signal
-import sys
 import threading
 import time
 import urllib.error
@@ -33,7 +32,7 @@
         self.command = command
 
     def start(self) -> None:
-        self._launch([sys.executable, "-m", "driftshed.cli", *self.command])
+        self._launch(self.command)
 
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
--- a/driftshed/day/recorder.py
+++ b/driftshed/day/recorder.py
@@ -13,8 +13,10 @@
 from driftshed.net.stream import Stream, Tap
 
 # Kinds of links, named from the one who asks: proxies to the supervisor, the roster to it, proxies to servers, clients
-# to proxies, the supervisor to a store of nodes.
+# to proxies, the supervisor to a store of nodes; and, with faults between, what of it the store saw. Orders that rest
+# on an agreement go to the rig itself.
 CONTROL, ROSTER, WORK, ASK, STORE = "control", "roster", "work", "ask", "store"
+STORED, ORDER = "stored", "order"
 
 
 class Passed(NamedTuple):
--- a/driftshed/lab/run.py
+++ b/driftshed/lab/run.py
@@ -14,6 +14,7 @@
 import numpy as np
 from msgspec import Struct
 
+from driftshed.day.accord import judge_accord
 from driftshed.day.judge import Case, Judge, Verdict
 from driftshed.day.recorder import ASK, WORK, read_record
 from driftshed.day.traffic import read_traffic
@@ -121,10 +122,12 @@
     scenario, facts, cast = world.scenario, world.facts, world.cast
     case = Case(
         facts, cast, lambda number: scenario.machine(cast.kind_of_server(number), facts), scenario.seconds, world.cuts,
-        world.kills, unix, kinds,
+        world.kills, unix, kinds, world.ground.owner, world.pauses,
     )  # fmt: skip
     judge = Judge(case)
     verdict: Verdict = judge.judge()
+    if scenario.fleet.supervisors > 1:
+        judge_accord(verdict, kinds, world.ground.owner)
     over_time = service_over_time(scenario, rows)
     lag = world.load.lag
     carried, digest = _carried(world, kinds)
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -116,9 +116,10 @@
         path = f"/v1/proxies/{self.number}/join?term={self.term}"
         self.control.call("POST", path, encode(join), self._joined, JOIN_WITHIN)
 
-    def _again(self, why: str, elsewhere: bool = False) -> None:
+    def _again(self, why: str, elsewhere: bool = False, sent_on: bool = False) -> None:
         """Dials again after a while: another supervisor if there is one, since this one did not answer; at once
-        `elsewhere` where this one stops or is silent, since a connection that is merely broken may stand again."""
+        `elsewhere` where this one stops or is silent, since a connection that is merely broken may stand again. One
+        that leaves has `sent_on` its proxies one by one: nobody else dials now, and orders are not to have a gap."""
         if self.stopped:
             return
         if self.stream:
@@ -130,7 +131,10 @@
         self.failed += 1
         if self.failed > 1 or elsewhere:
             self.at = (self.at + 1) % len(self.addresses)
-        self.loop.after(wait, self._dial)
+        if sent_on and self.failed == 1 and len(self.addresses) > 1:
+            self._dial()
+        else:
+            self.loop.after(wait, self._dial)
 
     def _joined(self, answer: Answer) -> None:
         over = TERM.search(answer.body) if answer.status == 409 else None
@@ -183,7 +187,9 @@
 
     def _told(self, answer: Answer) -> None:
         if answer.status != 200:
-            self._again(answer.error or f"poll: {answer.status}", answer.error == "late" or answer.status == 503)
+            away = answer.status == 503
+            self._again(answer.error or f"poll: {answer.status}", away or answer.error == "late",
+                        away and answer.headers.get(b"retry-after") == b"0")  # fmt: skip
             return
         try:
             changes = CHANGES.decode(answer.body)
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -87,7 +87,7 @@
 
     agent = None
     if fleet_connect:  # Not imported else: a supervisor by itself needs nothing of it.
-        from driftshed.coordination.taking_part import take_part
+        from driftshed.coordination.taking_part import leave, take_part
 
         agent = take_part(loop, service, hosts_of(fleet_connect, "fleet-connect"), check_root(fleet_root), name,
                           expected, fleet_timeout, log, advertise)  # fmt: skip
@@ -107,9 +107,13 @@
 
     def stop(number: int) -> None:
         log("stopping", signal=signal.Signals(number).name)
-        if agent is not None:
+        if agent is None:
+            service.stop()
+        elif service.leaving:  # told twice: at once
             agent.leave()
-        service.stop()
+            service.stop()
+        else:
+            leave(agent, service, service.stop)
 
     loop.on_signals((signal.SIGTERM, signal.SIGINT), stop)
     log("listening", address=f"{service.address[0]}:{service.address[1]}", run=run, seed=seed)
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -49,7 +49,7 @@
         self.on_connection: dict[ServerConnection, Poll] = {}
         self.timer: Timer | None = None
         self.turn_due = False
-        self.refused = 0
+        self.refused, self.leaving = 0, False
         self.terms: dict[int, int] = {}  # the highest term that each proxy has joined with
         self.living: Callable[[], list[str]] = lambda: []  # addresses of the supervisors that are there
         self.views: dict[str, Callable[[], object]] = {
@@ -160,6 +160,8 @@
 
     def _join(self, request: Request, proxy: int) -> None:
         join = self._body(request, Join)
+        if self.leaving:
+            raise Refused(503, "this supervisor leaves; join another")
         try:
             term = int(dict(parse_qsl(request.query)).get("term", "0"))
             if not 0 <= term < 2**32:
@@ -240,12 +242,12 @@
             self.on_message(self.loop.clock(), f"{poll.stream}/{poll.record.version}/told", True)
         self._answer(poll, 200, body)
 
-    def _answer(self, poll: Poll, status: int, body: bytes) -> None:
+    def _answer(self, poll: Poll, status: int, body: bytes, extra: str = "") -> None:
         if poll.timer:
             poll.timer.cancel()
         request, poll.request = poll.request, None
         self._await_poll(poll)
-        request.answer(status, body)
+        request.answer(status, body, extra=extra)
 
     def _end_poll(self, poll: Poll, status: int, reason: str) -> None:
         if poll.timer:
@@ -337,6 +339,23 @@
             "cpu": time.process_time(),
         }  # fmt: skip
 
+    def hand_over(self, pause: Callable[[int], float], done: Callable[[], object]) -> None:
+        """Takes no more proxies and sends those that it has elsewhere, one after the other; `pause(lines)`: seconds
+        until the next, where the largest tables held are of so many lines. `done()` once none is left."""
+        self.leaving = True
+        largest = max((len(poll.record.held) for poll in self.polls.values()), default=0)
+
+        def one() -> None:
+            if not self.polls:
+                done()
+                return
+            poll = next((poll for poll in self.polls.values() if poll.request is not None), None)
+            if poll is not None:
+                self._answer(poll, 503, refusal("the supervisor leaves; dial another"), "retry-after: 0\r\n")
+            self.loop.after(pause(largest), one)
+
+        one()
+
     def stop(self) -> None:
         """Owes an answer to every poll that waits: it is told that the supervisor stops; then all ends."""
         self.http.closing = True
