--- a/driftshed/core/messages.py
+++ b/driftshed/core/messages.py
@@ -142,6 +142,8 @@
     # Where it is more than one, or one that left earlier: from and till when each stood there, in seconds before the
     # answer, and its lines.
     stood: list[tuple[float, float, float]] = []
+    # Where else a proxy may join, as `JoinAnswer` says it: told once it has changed.
+    supervisors: list[str] = []
 
 
 # ---- requests -------------------------------------------------------------------------------------------------
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -203,6 +203,7 @@
             self._again("its tables were turned down")
             return
         self.failed = 0
+        self._learn(changes.supervisors)
         if changes.changes:
             if self.message:
                 self.message(self.loop.clock(), f"{self.stream}/{changes.version}/told", False)
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -26,10 +26,11 @@
 class Poll:
     """What the service holds of one joined proxy: its stream, the connection it is on, the poll that waits."""
 
-    __slots__ = ("stream", "connection", "request", "timer", "record")
+    __slots__ = ("stream", "connection", "request", "timer", "record", "living")
 
     def __init__(self, record: Record) -> None:
         self.record, self.stream = record, record.stream
+        self.living: list[str] = []  # the supervisors that the proxy was told of
         self.connection: ServerConnection | None = None
         self.request: Request | None = None
         self.timer: Timer | None = None
@@ -56,6 +57,9 @@
             "tables": self._tables, "servers": self._servers, "proxies": self._proxies, "roster": self._roster,
             "channel": self._channel,
         }  # fmt: skip
+        # POST /v1/NAME: what a body is decoded as, and what is done with it; a Refused says why not.
+        self.actions: dict[str, tuple[type, Callable[[object], object]]] = {}
+        self.waits: Callable[[], str] = lambda: ""  # why no proxy is taken yet
         self.followed = ""  # where the list comes from, unless it is pushed
         self.began = loop.clock()
         # Called with each answer to a poll that tells something, and with each poll that says what is applied.
@@ -67,6 +71,11 @@
         instance.on_fault = self._fault
         self._schedule()
 
+    def hear_overlaid(self, listing: face.Listing) -> None:
+        """What is laid over the list has changed."""
+        self.instance.news.append(listing)
+        self._soon()
+
     def hear_roster(self, news: RosterNews) -> None:
         """News of the list, from whoever tells it. Refused: as the instance has it."""
         self.instance.hear_roster(news)
@@ -136,6 +145,9 @@
             news = self._body(request, RosterNews)
             self.hear_roster(news)
             return request.answer(200, encode({"version": news.version}))
+        if method == "POST" and len(parts) == 2 and parts[0] == "v1" and parts[1] in self.actions:
+            kind, act = self.actions[parts[1]]
+            return request.answer(200, encode(act(self._body(request, kind))))
         if len(parts) == 2 and parts[0] == "v1" and parts[1] in self.views:
             if method != "GET":
                 raise Refused(405, f"{method} is not a way to call {request.path}")
@@ -154,7 +166,8 @@
         if given != b"application/json":
             raise Refused(415, "content-type must be application/json")
         try:
-            return DECODERS[kind].decode(request.body)
+            return msgspec.json.decode(request.body, type=kind) if kind not in DECODERS else DECODERS[kind].decode(
+                request.body)  # fmt: skip
         except msgspec.DecodeError as error:  # ValidationError is one
             raise Refused(400, str(error)) from None
 
@@ -162,6 +175,8 @@
         join = self._body(request, Join)
         if self.leaving:
             raise Refused(503, "this supervisor leaves; join another")
+        if why := self.waits():
+            raise Refused(503, why)
         try:
             term = int(dict(parse_qsl(request.query)).get("term", "0"))
             if not 0 <= term < 2**32:
@@ -179,6 +194,7 @@
         if old is not None:
             self._end_poll(old, 409, "replaced by a newer stream of this proxy")
         poll = self.polls[proxy] = Poll(record)
+        poll.living = self.living()
         self._listen(poll, request.connection)
         self._await_poll(poll)
         self.log("joined", proxy=proxy, zone=join.zone, version=record.acked, resumed=join.run == self.instance.hub.run,
@@ -186,7 +202,7 @@
         self._soon()
         answer = JoinAnswer(
             self.instance.hub.run, record.stream, record.acked, list(self.instance.operations), self.wait_most,
-            self.instance.facts.report_period, self.living(),
+            self.instance.facts.report_period, poll.living,
         )  # fmt: skip
         request.answer(200, encode(answer))
 
@@ -230,7 +246,16 @@
             poll.timer = self.loop.after(min(wait, self.wait_most), lambda: self._poll_over(poll))
 
     def _poll_over(self, poll: Poll) -> None:
-        self._answer(poll, 200, self.instance.hub.no_news(poll.record))
+        self._answer(poll, 200, self._with_living(poll, self.instance.hub.no_news(poll.record)))
+
+    def _with_living(self, poll: Poll, body: bytes) -> bytes:
+        """Guards against proxies that joined before this supervisor knew the others: they would all dial the same next
+        one when it goes."""
+        living = self.living()
+        if not living or living == poll.living:
+            return body
+        poll.living = living
+        return body[:-1] + b',"supervisors":' + encode(living) + b"}"
 
     def _answer_poll(self, poll: Poll) -> None:
         body = self.instance.hub.news(poll.record, self.loop.clock())
@@ -240,7 +265,7 @@
     def _tell(self, poll: Poll, body: bytes) -> None:
         if self.on_message:
             self.on_message(self.loop.clock(), f"{poll.stream}/{poll.record.version}/told", True)
-        self._answer(poll, 200, body)
+        self._answer(poll, 200, self._with_living(poll, body))
 
     def _answer(self, poll: Poll, status: int, body: bytes, extra: str = "") -> None:
         if poll.timer:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,6 +13,7 @@
 import numpy as np
 import pytest
 from click.testing import CliRunner
+from msgspec.structs import replace
 
 from driftshed.cli import main
 from driftshed.lab.compare import bootstrap, compare
@@ -27,7 +28,9 @@
     Kill,
     Lapse,
     Link,
+    Pause,
     Rejoin,
+    Scenario,
     Sick,
     StoreDown,
     StorePause,
@@ -787,3 +790,26 @@
         proxy.stdout.close()
         server.stop()
         loop.close()
+
+
+def several(seconds: float) -> Scenario:
+    """Three supervisors in virtual time, under everything that may hit them."""
+    day = bare_day("small", seconds)
+    day.fleet = replace(day.fleet, store=True, supervisors=3)
+    day.troubles = [
+        Kill(4.0, 3.0, 0), Pause(9.0, 4.0, "supervisor", 1.0, 1), Deploy(5.0, Whom(share=0.3), 2.0, 2),
+        Link(14.0, 4.0, "control2", "roster", cut=True, both=False), Link(19.0, 4.0, "control", "", cut=True),
+    ]  # fmt: skip
+    return check(day)
+
+
+def test_several_supervisors_share_a_day_in_virtual_time_bit_for_bit():
+    one, two = run(several(26.0), 1), run(several(26.0), 1)
+    assert one.digest == two.digest != run(several(26.0), 2).digest
+    assert one.kept, one.breaks
+    assert one.rules["owners"]["checked"] > 60 and one.service > 0.9  # proxies changed hands more than once
+    with pytest.raises(BadScenario, match="counted from 0"):
+        day = several(26.0)
+        check(replace(day, troubles=[Kill(4.0, 3.0, 3)]))
+    with pytest.raises(BadScenario, match="fleet.store = true"):
+        check(replace(day, fleet=replace(day.fleet, store=False), troubles=[]))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -11,6 +11,7 @@
 import pytest
 
 from driftshed.cli import main
+from driftshed.coordination.parting import apart
 from driftshed.core.instance import Instance
 from driftshed.core.messages import Changes, Line
 from driftshed.net.http import Bounds, HttpClient
@@ -323,3 +324,41 @@
 def test_answers_to_joins_name_the_living(rig):
     rig.service.living = lambda: ["127.0.0.1:7001", "127.0.0.1:7002"]
     assert rig.join()[1]["supervisors"] == ["127.0.0.1:7001", "127.0.0.1:7002"]
+
+
+def test_a_proxy_that_joined_before_the_others_were_known_learns_of_them_with_its_next_answer(rig):
+    client, joined = rig.join()
+    polled = rig.poll(client, joined["stream"], 0, wait=0.05)
+    until(rig.loop, lambda: polled)
+    assert "supervisors" not in msgspec.json.decode(polled[0].body)
+    rig.service.living = lambda: ["127.0.0.1:7001"]
+    for told in (["127.0.0.1:7001"], None):  # once
+        polled = rig.poll(client, joined["stream"], 0, wait=0.05)
+        until(rig.loop, lambda polled=polled: polled)
+        assert msgspec.json.decode(polled[0].body).get("supervisors") == told
+
+
+def test_proxies_are_handed_over_one_by_one_and_none_is_taken_meanwhile(rig):
+    rows, done = [], []
+    for number in range(3):
+        client, joined = rig.join(number)
+        answers = rig.poll(client, joined["stream"], 0, number)
+        rows.append((client, answers))
+    until(rig.loop, lambda: all(poll.request for poll in rig.service.polls.values()))
+    paused = []
+    rig.service.hand_over(lambda lines: paused.append(lines) or 0.05, lambda: done.append(1))
+    assert rig.call("POST", "/v1/proxies/9/join", {"zone": "east", "rate": 5.0})[0] == 503
+    left = []
+    while not done:
+        for client, answers in rows:
+            if answers and client not in left:
+                assert answers[0].status == 503 and answers[0].headers[b"retry-after"] == b"0"
+                left.append(client)
+                client.close()
+        rig.loop.turn(rig.loop.clock() + 0.01)
+    assert len(left) == 3 <= len(paused) and not rig.service.polls
+
+
+def test_the_pace_of_a_parting_leaves_each_channel_time_for_one_proxys_tables():
+    assert apart(30, 3000.0, 2) == pytest.approx(0.005)
+    assert apart(0, 1000.0, 0) == pytest.approx(0.001)  # never at once
