Leaving a zone as a fleet: evidence, stages, overlay, and driftshed zone

First build: decisions in driftshed/evacuation (no I/O but in part.py and command.py), agreed records by zone, what stands laid over the list that the module hears.

--- a/driftshed/cli.py
+++ b/driftshed/cli.py
@@ -6,6 +6,7 @@
 
 from driftshed.coordination.command import fleet
 from driftshed.day.command import day
+from driftshed.evacuation.command import zone
 from driftshed.lab.command import lab
 from driftshed.proxy.command import proxy
 from driftshed.roster.command import announce, roster
@@ -27,6 +28,7 @@
 main.add_command(roster)
 main.add_command(announce)
 main.add_command(fleet)
+main.add_command(zone)
 
 if __name__ == "__main__":
     main()
--- a/driftshed/core/instance.py
+++ b/driftshed/core/instance.py
@@ -31,6 +31,10 @@
         self.sums_at = now + facts.report_period
         self.why: dict[str, tuple[float, str]] = {}  # of servers: the module's last word, and when
         self.on_answered: Callable[[str], object] | None = None  # of servers that reports met giving good answers
+        # What a zone's proxies met at a server: now, zone, server, tries, errored, mean latency of the good.
+        self.on_met: Callable[[float, int, face.Server, int, int, float | None], object] | None = None
+        # The list as the module hears it.
+        self.overlay: Callable[[face.Listing], face.Listing] = lambda listing: listing
 
     # ---- what comes in ----------------------------------------------------------------------------------------
 
@@ -83,13 +87,15 @@
         for server, each in met:
             load = tuple(each.load) if each.load and len(each.load) == fields else None
             self.sums.met(now, record.zone, server, each.tries, each.errored, each.latency, load)
+            if self.on_met:
+                self.on_met(now, record.zone, server, each.tries, each.errored, each.latency)
             if self.on_answered and each.tries > each.errored:
                 self.on_answered(each.server)
         for each in report.operations:
             self.sums.came(now, record.proxy, self.operations[each.operation], each.arrived, each.errored)
 
     def hear_roster(self, news: RosterNews) -> None:
-        self.news.append(self.roster.hear(news))
+        self.news.append(self.overlay(self.roster.hear(news)))
 
     # ---- turns ------------------------------------------------------------------------------------------------
 
@@ -120,6 +126,6 @@
         self.hub.restart()
 
     def what_stands(self) -> list:
-        news = [self.roster.told()] if self.roster.version is not None else []
+        news = [self.overlay(self.roster.told())] if self.roster.version is not None else []
         joined = (record for record in self.hub.records.values() if record.joined)
         return news + [face.Joined(record.zone, False, record.proxy, record.rate) for record in joined]
--- /dev/null
+++ b/driftshed/evacuation/command.py
@@ -0,0 +1,105 @@
+"""`driftshed zone`: what stands on zones, and orders by hand."""
+
+from __future__ import annotations
+
+import getpass
+import json
+import sys
+import urllib.error
+import urllib.request
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+WITHIN = 5.0  # seconds
+
+
+def _ask(supervisor: str, body: dict | None = None) -> object:
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{supervisor}/v1/zones", data, {"content-type": "application/json"})
+    try:
+        with urllib.request.urlopen(request, timeout=WITHIN) as answer:
+            return json.load(answer)
+    except urllib.error.HTTPError as error:
+        text = error.read().decode("utf-8", "replace")
+        try:
+            text = json.loads(text)["error"]
+        except (ValueError, KeyError, TypeError):
+            pass
+        none = error.code == 404
+        click.echo("this supervisor leaves no zones: start it with --leave-zones" if none else text, err=True)
+        sys.exit(4 if none else 1)
+    except (OSError, ValueError) as error:
+        click.echo(f"{supervisor}: no answer ({error}); name a supervisor that runs", err=True)
+        sys.exit(3)
+
+
+@click.group()
+def zone() -> None:
+    """Leaving zones and returning to them. Exit codes: 0 done; 1 refused; 2 bad input; 3 no answer; 4 off there."""
+
+
+supervisor = click.option("--supervisor", required=True, metavar="HOST:PORT", help="any supervisor of the fleet")
+
+
+@zone.command()
+@supervisor
+@click.option("--json", "as_json", is_flag=True, help="print one array and nothing else")
+def status(supervisor: str, as_json: bool) -> None:
+    """What stands on each zone, and what this supervisor's proxies met there."""
+    rows = _ask(supervisor)
+    if as_json:
+        click.echo(json.dumps(rows))
+        return
+    table = Table("zone", "left", "stage", "seen from here", "the rest bears", "account", box=None)
+    for row in rows:
+        stage = row["stage"] or {"phase": "-", "account": "", "by": None}
+        by = f" by {stage['by']}" if stage.get("by") else ""
+        seen = f"{row['verdict']} for {row['lasted']} s"
+        table.add_row(row["zone"], f"{row['share']:.0%}", stage["phase"] + by, seen, f"{row['bears']:.0%}",
+                      stage["account"])  # fmt: skip
+    Console(width=160).print(table)
+
+
+def _order(what: str, zone: str, supervisor: str, dry: bool, **more: object) -> None:
+    answer = _ask(supervisor, {"zone": zone, "what": what, "by": getpass.getuser(), "dry": dry, **more})
+    stage = answer["stage"]
+    said = "proposed" if answer["proposed"] else "would be"
+    click.echo(f"{said}: {zone} {stage['phase']}, {stage['share']:.0%} of it left")
+    for name, row in answer["servers"].items():
+        click.echo(f"  {name}: {row['ready']} servers carry, {row['left']} are left")
+
+
+dry = click.option("--dry-run", "dry", is_flag=True, help="say what it would be, and do nothing")
+lasts = click.option("--for", "lasts", type=click.FloatRange(1, 86400), default=3600.0, help="seconds that it binds")
+
+
+@zone.command()
+@click.argument("name")
+@supervisor
+@dry
+@lasts
+@click.option("--share", type=click.FloatRange(0, 1), default=1.0, help="of the zone's servers")
+def leave(name: str, supervisor: str, dry: bool, lasts: float, share: float) -> None:
+    """Leaves a zone by hand."""
+    _order("leave", name, supervisor, dry, lasts=lasts, share=share)
+
+
+@zone.command()
+@click.argument("name")
+@supervisor
+@dry
+@lasts
+def hold(name: str, supervisor: str, dry: bool, lasts: float) -> None:
+    """Holds what stands on a zone, whatever is seen."""
+    _order("hold", name, supervisor, dry, lasts=lasts)
+
+
+@zone.command(name="return")
+@click.argument("name")
+@supervisor
+@dry
+def back(name: str, supervisor: str, dry: bool) -> None:
+    """Begins to return to a zone, in steps."""
+    _order("return", name, supervisor, dry)
--- /dev/null
+++ b/driftshed/evacuation/part.py
@@ -0,0 +1,260 @@
+"""A supervisor's part in leaving zones: its evidence, its words on stages, and what stands laid over its list."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from driftshed import interface as face
+from driftshed.coordination import agreement
+from driftshed.coordination.agent import Agent
+from driftshed.core.hub import Refused
+from driftshed.evacuation.evidence import Evidence, Lasting, Verdict
+from driftshed.evacuation.overlay import Overlay
+from driftshed.evacuation.stages import SMALL, BadStage, Limits, Sight, Stage, ceiling, follows, next_stage, word
+from driftshed.net.loop import Timers
+from driftshed.supervisor.service import Service
+
+TOPIC = "zone."
+PATIENCE = 1.0  # of the pace: how long a proposal waits for words
+STAGGER = 0.5  # of the pace: how much later each next supervisor proposes what the first one has not
+STRAIN = 2.0  # times the usual latency in a zone that takes over
+FIRST_WAIT = 2.0  # of the session's time-out: how long a start waits for what stands before it takes proxies
+BY_HAND_MOST = 86400.0  # seconds
+
+
+class Ordered(Struct, forbid_unknown_fields=True):
+    """What an operator orders of a zone; `lasts`: seconds, after which evidence decides again."""
+
+    zone: Annotated[str, Meta(max_length=64)]
+    what: str  # leave, hold or return
+    by: Annotated[str, Meta(min_length=1, max_length=64)]
+    share: Annotated[float, Meta(ge=0, le=1)] = 1.0
+    lasts: Annotated[float, Meta(gt=0, le=BY_HAND_MOST)] = 3600.0
+    dry: bool = False
+
+
+class Evacuation:
+    """`alone(zone)`: called when what stands on a zone changed here. Off unless it is made."""
+
+    def __init__(
+        self, loop: Timers, service: Service, agent: Agent, limits: Limits,
+        log: Callable[..., object] = lambda event, **fields: None,
+    ) -> None:  # fmt: skip
+        self.loop, self.service, self.agent, self.limits, self.log = loop, service, agent, limits, log
+        self.facts, self.zones = service.instance.facts, service.instance.facts.zones
+        self.evidence, self.lasting = Evidence(self.facts), Lasting(len(self.zones))
+        self.overlay, self.shares = Overlay(len(self.zones)), [0.0] * len(self.zones)
+        self.look: dict = {}
+        self.wanted: dict[str, tuple[Stage, float]] = {}  # by zone: what we would propose, since when
+        self.open: dict[str, object] = {}
+        self.stood: dict[int, tuple[int, float]] = {}  # by zone: the epoch that stands, and since when
+        self.began = loop.clock()
+        instance = service.instance
+        instance.overlay = lambda listing: self.overlay.hear(listing, self.loop.clock())
+        instance.on_met = self._met
+        before, told = agent.judge, agent.on_record
+        agent.judge = lambda record: self._word(record) if record.topic.startswith(TOPIC) else before(record)
+        agent.on_record = lambda record: (told(record), self._apply())
+        service.views["zones"] = self.view
+        service.actions["zones"] = (Ordered, self.order)
+        service.waits = self._waits
+        self._turn()
+
+    def _waits(self) -> str:
+        """Guards against a first table that knows nothing of a zone that is left; it does not wait for ever."""
+        known = self.agent.records.whole and self.agent.holds()
+        late = self.loop.clock() > self.began + FIRST_WAIT * self.agent.timeout
+        return "" if known or late else "what stands on zones is not read yet; come back soon"
+
+    def _met(self, now: float, here: int, server: face.Server, tries: int, errored: int, latency: float | None) -> None:
+        entry = self.service.instance.roster.entries.get(server)
+        if entry is not None:
+            self.evidence.met(now, here, entry.zone, tries, errored, latency)
+
+    # ---- what stands and what is seen -------------------------------------------------------------------------
+
+    def stage(self, zone: str) -> Stage | None:
+        """What stands on a zone, as it was last read."""
+        topic = self.agent.topics.get(TOPIC + zone)
+        standing = topic.record.standing if topic is not None and topic.record is not None else None
+        return self._stage_of(standing, topic) if standing is not None else None
+
+    def _stage_of(self, standing: agreement.Standing, topic) -> Stage | None:
+        try:
+            stage = msgspec.convert(standing.body, Stage)
+        except msgspec.ValidationError as error:
+            self.log("bad_stage", level="warning", why=str(error))
+            return None
+        if standing.binds_for is not None and self._over(standing):
+            return msgspec.structs.replace(stage, by=None, phase="left", account=f"{stage.by}'s order is over")
+        return stage
+
+    def _over(self, standing: agreement.Standing) -> bool:
+        """Whether an order by hand has bound for its time, here by our own clock."""
+        since = next((at for epoch, at in self.stood.values() if epoch == standing.epoch), self.loop.clock())
+        return self.loop.clock() > since + standing.binds_for
+
+    def sight(self, zone: int) -> Sight:
+        now, name = self.loop.clock(), self.zones[zone]
+        servers = [0] * len(self.zones)
+        for entry in self.overlay.entries.values():
+            servers[entry.zone] += entry.state == face.READY
+        takers = [met for (_, there), met in self.look.items() if there != zone and not self.shares[there]]
+        strained = any(met.ill or met.slow >= STRAIN for met in takers)
+        topic = self.agent.topics.get(TOPIC + name)
+        standing = topic.record.standing if topic is not None and topic.record is not None else None
+        epoch = standing.epoch if standing is not None else 0
+        if self.stood.get(zone, (-1, 0.0))[0] != epoch:  # proposals come and go meanwhile
+            self.stood[zone] = epoch, now
+        verdict = self.lasting.now[zone]
+        return Sight(
+            verdict, self.lasting.lasted(zone, verdict, now), self.lasting.fresh[zone], strained,
+            ceiling(servers, self.shares, zone, self.limits), now - self.stood[zone][1],
+            any(share > 0 for other, share in enumerate(self.shares) if other != zone),
+        )  # fmt: skip
+
+    def _turn(self) -> None:
+        self.loop.after(self.facts.report_period, self._turn)
+        now = self.loop.clock()
+        self.look = self.evidence.look(now)
+        self.lasting.take(now, self.look)
+        self._apply()
+        if not self.agent.holds():
+            self.wanted.clear()
+            return
+        self.agent.look()
+        for number, zone in enumerate(self.zones):
+            self._propose(number, zone, now)
+
+    def _apply(self) -> None:
+        """Lays what stands over the list. While no lease holds, the last that was acted on goes on: the stage holds."""
+        if not self.agent.holds() or not self.agent.records.whole:
+            return
+        shares = [0.0 if (stage := self.stage(zone)) is None else stage.share for zone in self.zones]
+        if shares == self.shares:
+            return
+        self.log("zones", shares=dict(zip(self.zones, shares, strict=True)))
+        self.shares = shares
+        news = self.overlay.take(shares, self.service.instance.roster.version or 0, self.loop.clock())
+        if news is not None:
+            self.service.hear_overlaid(news)
+
+    # ---- proposals and words ----------------------------------------------------------------------------------
+
+    def _propose(self, number: int, zone: str, now: float) -> None:
+        stage = self.stage(zone)
+        following = next_stage(zone, stage, self.sight(number), self.limits)
+        topic = self.agent.topics.get(TOPIC + zone)
+        if following is None or (topic is not None and topic.record is not None and topic.record.state == "open"):
+            self.wanted.pop(zone, None)
+            return
+        known = self.wanted.get(zone)
+        since = known[1] if known is not None and known[0].phase == following.phase else now
+        self.wanted[zone] = following, since
+        order = self.agent.roll.order()
+        rank = order.index(self.agent.name) if self.agent.name in order else len(order)
+        if zone in self.open or now < since + rank * STAGGER * self.limits.pace:
+            return
+        self._put(zone, following)
+
+    def _put(self, zone: str, stage: Stage, binds_for: float | None = None) -> object:
+        expected = self.agent.roll.expected
+
+        def done(proposal) -> None:
+            self.log("stage", zone=zone, phase=stage.phase, share=stage.share, state=proposal.state, why=proposal.why)
+            # What was objected to is not asked again at once.
+            self.loop.after(self.limits.pace, lambda: self.open.pop(zone, None))
+
+        self.open[zone] = stage
+        return self.agent.propose(
+            TOPIC + zone, msgspec.to_builtins(stage), expected, len(expected) // 2 + 1, PATIENCE * self.limits.pace,
+            done, binds_for,
+        )  # fmt: skip
+
+    def _word(self, record: agreement.Record) -> tuple[bool, str] | None:
+        try:
+            stage = msgspec.convert(record.body, Stage)
+        except msgspec.ValidationError as error:
+            return False, f"no stage: {error}"
+        if stage.zone not in self.zones or record.topic != TOPIC + stage.zone:
+            return False, f"zone {stage.zone!r} is not known here"
+        old = None
+        if record.standing is not None:
+            old = self._stage_of(record.standing, self.agent.topics[record.topic])
+        return word(old, stage, self.sight(self.zones.index(stage.zone)), self.limits)
+
+    # ---- by hand ----------------------------------------------------------------------------------------------
+
+    def order(self, ordered: Ordered) -> dict:
+        """An operator's order: proposes it, or says with `dry` what it would be. Refused where it cannot be."""
+        if ordered.zone not in self.zones:
+            raise Refused(400, f"zone {ordered.zone!r} is none of {', '.join(self.zones)}")
+        zone, stage = ordered.zone, self.stage(ordered.zone)
+        sight = self.sight(self.zones.index(zone))
+        standing = stage if stage is not None else Stage(zone, "back", 0.0, 0.0)
+        if ordered.what == "leave":
+            if ordered.share > sight.bears + SMALL:
+                raise Refused(409, f"the rest bears {sight.bears:.2f} of it: ask for no more, or raise the ceiling")
+            new = Stage(zone, "left", ordered.share, ordered.share, by=ordered.by, account="by hand")
+            lasts = ordered.lasts
+        elif ordered.what == "hold":
+            new = msgspec.structs.replace(standing, by=ordered.by, account="held by hand")
+            lasts = ordered.lasts
+        elif ordered.what == "return":
+            if standing.share <= SMALL:
+                raise Refused(409, f"nothing of {zone} is left")
+            share = max(0.0, standing.share - self.limits.trickle)
+            new = Stage(zone, "returning", share, standing.share, standing.flaps, account=f"ordered by {ordered.by}")
+            lasts = None
+        else:
+            raise Refused(400, f"{ordered.what[:32]!r}: leave, hold or return is wanted")
+        try:
+            follows(stage, new, self.limits)
+        except BadStage as error:
+            raise Refused(409, str(error)) from None
+        if not ordered.dry:
+            if not self.agent.holds():
+                raise Refused(503, "this supervisor has no lease; ask another, or wait for the store")
+            self._put(zone, new, lasts)
+        servers = {name: {"ready": 0, "left": 0} for name in self.zones}
+        shares = [new.share if name == zone else share for name, share in zip(self.zones, self.shares, strict=True)]
+        trial = Overlay(len(self.zones))
+        trial.entries, trial.shares = self.overlay.entries, shares
+        out = trial.wanted()
+        for entry in self.overlay.entries.values():
+            if entry.state == face.READY:
+                servers[self.zones[entry.zone]]["left" if entry.server in out else "ready"] += 1
+        return {"proposed": not ordered.dry, "stage": new, "servers": servers}
+
+    def view(self) -> list[dict]:
+        """What `driftshed zone status` shows."""
+        rows = []
+        for number, zone in enumerate(self.zones):
+            sight, stage = self.sight(number), self.stage(zone)
+            rows.append({
+                "zone": zone, "share": self.shares[number], "stage": stage, "verdict": sight.verdict.value,
+                "lasted": round(min(sight.lasted, 1e6), 1), "bears": round(sight.bears, 3), "strained": sight.strained,
+                "met": {self.zones[here]: met._asdict() for (here, there), met in sorted(self.look.items())
+                        if there == number},
+            })  # fmt: skip
+        return rows
+
+
+def read_limits(text: str) -> Limits:
+    """Limits from "lasting=4,pace=2"; ValueError names what is wrong and what there is."""
+    given = {}
+    for part in filter(None, (part.strip() for part in text.split(","))):
+        name, _, value = part.partition("=")
+        if name not in Limits._fields:
+            raise ValueError(f"{name!r} is none of {', '.join(Limits._fields)}")
+        given[name] = float(value)
+        if not 0 < given[name] <= (1.0 if name in ("step", "trickle", "ceiling") else BY_HAND_MOST):
+            raise ValueError(f"{name}={value} is out of its range")
+    return Limits(**given)
+
+
+__all__ = ["Evacuation", "Ordered", "Verdict", "read_limits"]
--- /dev/null
+++ b/driftshed/evacuation/stages.py
@@ -0,0 +1,171 @@
+"""The stages of leaving a zone and returning to it: which one comes next, and the word on another's. Free of I/O.
+
+What stands on a zone is one agreed record; each stage is a new one. All supervisors hold to the share that stands, so
+what the fleet has left is that share and never more."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, NamedTuple
+
+import msgspec
+from msgspec import Meta, Struct
+
+from driftshed.evacuation.evidence import Verdict
+
+Share = Annotated[float, Meta(ge=0, le=1)]
+SMALL = 1e-9
+
+
+class BadStage(ValueError):
+    """What does not follow on what stands."""
+
+
+class Stage(Struct, frozen=True):
+    """`share`: of the zone's servers that are left; `good`: the share at which the last step of a return was borne;
+    `flaps`: returns that failed of late; `by`: who orders it by hand, None where evidence does; `account`: why."""
+
+    zone: str
+    phase: Literal["leaving", "left", "returning", "back"]
+    share: Share
+    good: Share = 1.0
+    flaps: Annotated[int, Meta(ge=0, le=1000)] = 0
+    by: Annotated[str, Meta(max_length=64)] | None = None
+    account: Annotated[str, Meta(max_length=512)] = ""
+
+
+STAGES = msgspec.json.Decoder(Stage)
+
+
+class Limits(NamedTuple):
+    """Of the operator. Seconds and shares: `lasting`: that a zone must be ill; `pace`: between stages at the least;
+    `step`: of a zone's servers that leave at once; `trickle`: that a return begins with; `rest`: before a return,
+    doubled with each that failed up to `rest_most`; `ceiling`: of all servers that may be left at a time."""
+
+    lasting: float = 4.0
+    pace: float = 2.0
+    step: float = 0.5
+    trickle: float = 0.1
+    rest: float = 10.0
+    rest_most: float = 160.0
+    ceiling: float = 0.5
+
+
+class Sight(NamedTuple):
+    """What one supervisor sees of a zone now."""
+
+    verdict: Verdict
+    lasted: float  # seconds
+    fresh: bool  # whether somebody tried it of late
+    strained: bool  # some zone that takes over is ill, or slow
+    bears: float  # share of the zone's servers that the rest can do without
+    stood: float  # seconds since what stands on the zone was first seen
+    others_left: bool  # another zone is left, in part or whole
+
+
+def ceiling(servers: list[int], left: list[float], zone: int, limits: Limits) -> float:
+    """The share of a zone that may be left, by counts of servers that are listed ready and the shares that are left of
+    the other zones. Guards against a cascade: one zone after the other would leave nobody to serve."""
+    spare = limits.ceiling * sum(servers) - sum(n * s for k, (n, s) in enumerate(zip(servers, left, strict=True))
+                                                if k != zone)  # fmt: skip
+    return max(0.0, min(1.0, spare / servers[zone])) if servers[zone] else 0.0
+
+
+def next_stage(zone: str, stage: Stage | None, sight: Sight, limits: Limits) -> Stage | None:
+    """The stage that is to follow now by one supervisor's sight, or None."""
+    most = sight.bears
+    if stage is None or stage.phase == "back":
+        flaps = stage.flaps if stage is not None and sight.stood < limits.rest_most else 0
+        # Guards against leaving a second zone for what the first one's load does to it.
+        if sight.verdict is not Verdict.ILL or sight.lasted < limits.lasting or (sight.others_left and sight.strained):
+            return None
+        share = min(limits.step, most)
+        if share <= SMALL:
+            return None
+        return Stage(zone, "leaving", share, flaps=flaps,
+                     account=f"ill for {sight.lasted:.1f} s; the rest bears {most:.2f} of it")  # fmt: skip
+    if stage.by is not None or sight.stood < limits.pace:
+        return None
+    if stage.phase == "leaving":
+        if sight.verdict is Verdict.WELL and sight.lasted >= limits.lasting:
+            return msgspec.structs.replace(stage, phase="returning", good=stage.share, account="it is well again")
+        if sight.strained or stage.share >= most - SMALL:
+            why = "who takes over shows strain" if sight.strained else "as far as the rest bears"
+            return msgspec.structs.replace(stage, phase="left", account=why)
+        return msgspec.structs.replace(stage, share=min(most, stage.share + limits.step), account="still ill")
+    if stage.phase == "left":
+        still = sight.fresh and sight.verdict is Verdict.ILL  # by the part that is not left
+        if still or sight.stood < min(limits.rest_most, limits.rest * 2**stage.flaps):
+            return None
+        share = max(0.0, stage.share - limits.trickle)
+        return msgspec.structs.replace(stage, phase="returning", share=share, good=stage.share, account="a trickle")
+    if sight.verdict is Verdict.ILL and sight.fresh and sight.lasted >= limits.lasting / 2:
+        return msgspec.structs.replace(stage, phase="left", share=stage.good, flaps=stage.flaps + 1,
+                                       account="the last step was not borne")  # fmt: skip
+    if sight.strained or not borne(sight, limits):
+        return None
+    if stage.share <= SMALL:
+        return msgspec.structs.replace(stage, phase="back", share=0.0, good=0.0, account="all of it is back")
+    let_in = max(limits.trickle, 1.0 - stage.share)  # as much again as is in: what is in shows what it bears
+    share = max(0.0, stage.share - let_in)
+    why = f"{1 - stage.share:.2f} of it was borne"
+    return msgspec.structs.replace(stage, share=share, good=stage.share, account=why)
+
+
+def follows(old: Stage | None, new: Stage, limits: Limits) -> None:
+    """Whether a stage may follow on what stands, whoever proposes it; BadStage says why not."""
+    if new.by is not None:
+        return  # by hand: bounded in time by its record
+    if old is None or old.phase == "back":
+        if new.phase != "leaving" or new.share > limits.step + SMALL:
+            raise BadStage(f"{new.zone}: leaving begins with a step of {limits.step:g} at the most")
+        return
+    if old.by is not None and new.phase != "returning":
+        raise BadStage(f"{new.zone}: {old.by} holds it")
+    if new.phase == "leaving" and not (old.phase == "leaving" and new.share <= old.share + limits.step + SMALL):
+        raise BadStage(f"{new.zone}: {new.share:.2f} is no step from {old.phase} at {old.share:.2f}")
+    if new.phase == "left" and new.share > (old.good if old.phase == "returning" else old.share) + SMALL:
+        raise BadStage(f"{new.zone}: left at {new.share:.2f} after {old.phase} at {old.share:.2f}")
+    let_in = old.share - new.share
+    most = max(limits.trickle, 1.0 - old.share)
+    if new.phase in ("returning", "back") and let_in > most + SMALL:
+        raise BadStage(f"{new.zone}: {let_in:.2f} of it at once, {most:.2f} at the most")
+    if new.phase == "back" and (old.phase != "returning" or old.share > SMALL):
+        raise BadStage(f"{new.zone}: not all of it was let in")
+
+
+def borne(sight: Sight, limits: Limits) -> bool:
+    """Whether the last step of a return was borne, seen from here. Several have to have seen it; one whose proxies
+    hardly try the zone yet waits as long as before a return."""
+    return sight.verdict is Verdict.WELL or (not sight.fresh and sight.stood >= limits.rest)
+
+
+def old_good(old: Stage | None) -> float:
+    """The share that may be taken up again without asking what the rest bears: a return that was not borne."""
+    return old.good if old is not None and old.phase == "returning" else 0.0
+
+
+def word(old: Stage | None, new: Stage, sight: Sight, limits: Limits) -> tuple[bool, str] | None:
+    """Assent, or an objection with its reason, by this supervisor's own evidence; None while it has no word."""
+    try:
+        follows(old, new, limits)
+    except BadStage as error:
+        return False, str(error)
+    more = new.share > (old.share if old is not None else 0.0) + SMALL
+    if more and new.phase != "returning" and new.share > sight.bears + SMALL and old_good(old) < new.share - SMALL:
+        return False, f"the rest bears {sight.bears:.2f} of it"
+    if new.by is not None:
+        return True, ""
+    if more and new.phase == "leaving":
+        if sight.verdict is Verdict.UNKNOWN:
+            return None
+        if sight.verdict is not Verdict.ILL:
+            return False, f"seen from here: {sight.verdict.value}"
+        return (True, "") if sight.lasted >= limits.lasting / 2 else None
+    if new.phase in ("returning", "back") and old is not None and old.phase == "returning":
+        if sight.verdict is Verdict.ILL and sight.fresh:
+            return False, "seen from here the last step is not borne"
+        if sight.strained:
+            return False, "seen from here who takes over shows strain"
+        if not borne(sight, limits):
+            return None
+    return True, ""
--- a/driftshed/lab/grounds.py
+++ b/driftshed/lab/grounds.py
@@ -18,6 +18,7 @@
 from driftshed.day.relay import Relay
 from driftshed.day.stage import CONTROL_PORT, ROSTER_PORT, Cast, ProxyProcess, SupervisorProcess, free_net
 from driftshed.day.traffic import StoreTalk
+from driftshed.evacuation.part import Evacuation, read_limits
 from driftshed.lab.record import Record
 from driftshed.lab.scenario import BadScenario, Link, Scenario, control_zone
 from driftshed.lab.virtual import Network, Seat, VirtualLoop, Way
@@ -65,6 +66,8 @@
         self.supervisors: list[Seat | None] = [None] * count
         self.services: list[Service | None] = [None] * count
         self.agents: list[Agent | None] = [None] * count
+        self.leaving: list[Evacuation | None] = [None] * count
+        self.stages: list[tuple[float, str, dict]] = []  # of zones that are left: what each supervisor logged
 
     @property
     def service(self) -> Service:
@@ -158,6 +161,9 @@
                 fleet.fleet_timeout, self._log, seed=seed,
                 dial=self.network.dial(host, lambda: self._talk(STORED, host)),
             )  # fmt: skip
+        if fleet.leave_zones:
+            log = lambda event, **fields: self._log(event, by=number, **fields)  # noqa: E731
+            self.leaving[number] = Evacuation(seat, service, self.agents[number], read_limits(fleet.zone_limits), log)
 
     # A store of nodes, where the scenario has one.
 
@@ -178,7 +184,9 @@
         return lambda outward, data: talk.feed(Passed(self.whole.now, 0, not outward, data))
 
     def _log(self, event: str, **fields: object) -> None:
-        if event == "decided":
+        if event in ("zones", "stage"):
+            self.stages.append((round(self.whole.now, 3), event, fields))
+        elif event == "decided":
             self.decided.append((self.whole.now, str(fields["text"])))
         elif event in ("module_fault", "handler_fault", "fault"):
             self.faults.append(f"{self.whole.now:.3f} s: {event} {fields.get('error')}")
--- a/driftshed/lab/scenario.py
+++ b/driftshed/lab/scenario.py
@@ -15,6 +15,7 @@
 from msgspec import Meta, Struct
 
 from driftshed import interface as face
+from driftshed.evacuation.part import read_limits
 from driftshed.standins.emulator import Machine
 from driftshed.supervisor.flags import facts_of
 
@@ -57,6 +58,8 @@
     supervisors: Annotated[int, Meta(ge=1, le=9)] = 1  # more than one know each other by the store
     fleet_timeout: Span = 2.0  # of their sessions
     hears_within: Span = 2.0  # until a proxy gives a silent one of several up
+    leave_zones: bool = False  # zones that fail are left as a fleet
+    zone_limits: str = ""  # as `--zone-limits`
 
 
 class Traffic(Struct, forbid_unknown_fields=True):
@@ -340,6 +343,12 @@
         raise BadScenario(f"fleet.kinds: one entry is wanted for each of {', '.join(facts.kinds)}")
     if len(facts.zones) > 10 or facts.proxies > 250 * 15 * len(facts.zones):
         raise BadScenario("at most 10 zones, and 3,750 proxies in each")
+    try:
+        read_limits(scenario.fleet.zone_limits)
+    except ValueError as error:
+        raise BadScenario(f"fleet.zone_limits: {error}") from None
+    if scenario.fleet.leave_zones and scenario.fleet.supervisors == 1:
+        raise BadScenario("fleet.leave_zones: zones are left as a fleet: several supervisors are wanted")
     if scenario.fleet.supervisors > 1 and not scenario.fleet.store:
         raise BadScenario("fleet.supervisors: several want fleet.store = true: they know each other by it")
     controls = [control_zone(k) for k in range(scenario.fleet.supervisors)]
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -48,12 +48,15 @@
 @option("name", default="", help="this supervisor's name in the fleet, the same at each start")
 @option("expected", default="", help="NAME,... of all supervisors of the fleet, this one's among them")
 @option("fleet-timeout", type=click.FloatRange(0.1, 60), default=6.0, help="seconds of silence that end its session")
+@option("leave-zones", is_flag=True, default=False, help="leave zones that fail and return to them, as a fleet")
+@option("zone-limits", default="", help="lasting=4,pace=2,step=0.5,trickle=0.1,rest=10,rest_most=160,ceiling=0.5")
 @fact_options
 def supervise(
     listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
     log_level: str, trace: Path | None, trace_size: float, trace_age: float, trace_fsync: float, connect: str,
     root: str, session_timeout: float, lapse_hold: float, lapse_hold_most: float, fleet_connect: str,
-    fleet_root: str, advertise: str, name: str, expected: str, fleet_timeout: float, **given: object,
+    fleet_root: str, advertise: str, name: str, expected: str, fleet_timeout: float, leave_zones: bool,
+    zone_limits: str, **given: object,
 ) -> None:  # fmt: skip
     """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
     host, _, port = listen.rpartition(":")
@@ -91,6 +94,15 @@
 
         agent = take_part(loop, service, hosts_of(fleet_connect, "fleet-connect"), check_root(fleet_root), name,
                           expected, fleet_timeout, log, advertise)  # fmt: skip
+    if leave_zones:
+        if agent is None:
+            raise click.BadParameter("zones are left as a fleet: give --fleet-connect too", param_hint="--leave-zones")
+        from driftshed.evacuation.part import Evacuation, read_limits
+
+        try:
+            agent.evacuation = Evacuation(loop, service, agent, read_limits(zone_limits), log)
+        except ValueError as error:
+            raise click.BadParameter(str(error), param_hint="--zone-limits") from None
 
     writer = None
     if trace is not None:
