--- a/driftshed/coordination/members.py
+++ b/driftshed/coordination/members.py
@@ -30,6 +30,7 @@
     policy: Annotated[int, Meta(ge=0)] = 0  # the version that it runs
     proxies: Annotated[int, Meta(ge=0)] = 0  # that it serves
     zones: dict[str, int] = {}  # of these proxies
+    inside: dict[str, str] = {}  # of zones whose own proxies it serves, while one is in question: what these met there
     incarnation: Annotated[int, Meta(ge=0)] = 0
 
 
--- a/driftshed/evacuation/evidence.py
+++ b/driftshed/evacuation/evidence.py
@@ -14,7 +14,7 @@
 
 WINDOW = 6  # report periods that a look goes back
 ENOUGH = 5  # tries of one zone in another without which nothing is said
-ERRED, SLOW = 0.3, 3.0  # share of tries that errored; times the usual latency
+ERRED, SLOW, DEAD = 0.3, 3.0, 0.9  # share of tries that errored; times the usual latency; share that errored
 USUAL_OVER = 60  # report periods over which the usual is learnt
 
 
@@ -100,6 +100,12 @@
     return Verdict.ILL
 
 
+def dead(zone: int, look: dict[tuple[int, int], Met]) -> bool:
+    """Whether hardly a try of anybody's succeeds there."""
+    seen = [met for (_, there), met in look.items() if there == zone]
+    return bool(seen) and all(met.erred >= DEAD for met in seen)
+
+
 class Lasting:
     """Since when each zone's verdict is what it is."""
 
--- a/driftshed/evacuation/part.py
+++ b/driftshed/evacuation/part.py
@@ -12,14 +12,15 @@
 from driftshed.coordination import agreement
 from driftshed.coordination.agent import Agent
 from driftshed.core.hub import Refused
-from driftshed.evacuation.evidence import Evidence, Lasting, Verdict
+from driftshed.evacuation.evidence import Evidence, Lasting, Verdict, dead
 from driftshed.evacuation.overlay import Overlay
 from driftshed.evacuation.stages import SMALL, BadStage, Limits, Sight, Stage, ceiling, follows, next_stage, word
 from driftshed.net.loop import Timers
 from driftshed.supervisor.service import Service
 
 TOPIC = "zone."
-PATIENCE = 1.0  # of the pace: how long a proposal waits for words
+TOLD_WITHIN = 1.5  # seconds from a proposal until those who serve the proxies inside have said what they see
+PATIENCE = 1.5  # of the pace: how long a proposal waits for words
 STAGGER = 0.5  # of the pace: how much later each next supervisor proposes what the first one has not
 STRAIN = 2.0  # times the usual latency in a zone that takes over
 FIRST_WAIT = 2.0  # of the session's time-out: how long a start waits for what stands before it takes proxies
@@ -110,13 +111,36 @@
         epoch = standing.epoch if standing is not None else 0
         if self.stood.get(zone, (-1, 0.0))[0] != epoch:  # proposals come and go meanwhile
             self.stood[zone] = epoch, now
-        verdict = self.lasting.now[zone]
+        verdict, own = self.lasting.now[zone], (zone, zone) in self.look
+        inside = self._said_inside(name)
+        if verdict is Verdict.ILL and not own and "well" in inside:
+            verdict = Verdict.CUT  # those inside it see it well, whom other supervisors serve
+        opened = topic.opened if topic is not None and topic.record is not None else now
         return Sight(
-            verdict, self.lasting.lasted(zone, verdict, now), self.lasting.fresh[zone], strained,
+            verdict, self.lasting.lasted(zone, verdict, now), self.lasting.fresh[zone],
+            dead(zone, self.look), strained,
             ceiling(servers, self.shares, zone, self.limits), now - self.stood[zone][1],
             any(share > 0 for other, share in enumerate(self.shares) if other != zone),
+            own or "" not in inside or now - opened >= TOLD_WITHIN,
         )  # fmt: skip
 
+    def _said_inside(self, zone: str) -> set[str]:
+        """What the other living supervisors that serve a zone's own proxies say that these met there; "" of one that has
+        not spoken."""
+        members = (each.member for each in self.agent.roll.living().values())
+        return {each.inside.get(zone, "") for each in members if each.zones.get(zone) and each.name != self.agent.name}
+
+    def _say_inside(self) -> None:
+        """Guards against leaving a zone that is well inside, where each supervisor serves the proxies of some zones
+        alone. Said only while a zone is in question: at rest nothing is written."""
+        asked = any(topic.record is not None and topic.record.state == "open" and topic.name.startswith(TOPIC)
+                    for topic in self.agent.topics.values())  # fmt: skip
+        inside = {}
+        if asked or any(met.ill for met in self.look.values()):
+            inside = {zone: "ill" if self.look[n, n].ill else "well" for n, zone in enumerate(self.zones)
+                      if (n, n) in self.look}  # fmt: skip
+        self.agent.say(inside=inside)
+
     def _turn(self) -> None:
         self.loop.after(self.facts.report_period, self._turn)
         now = self.loop.clock()
@@ -126,6 +150,7 @@
         if not self.agent.holds():
             self.wanted.clear()
             return
+        self._say_inside()
         self.agent.look()
         for number, zone in enumerate(self.zones):
             self._propose(number, zone, now)
--- a/driftshed/evacuation/stages.py
+++ b/driftshed/evacuation/stages.py
@@ -13,7 +13,7 @@
 from driftshed.evacuation.evidence import Verdict
 
 Share = Annotated[float, Meta(ge=0, le=1)]
-SMALL = 1e-9
+SMALL = 1e-5
 
 
 class BadStage(ValueError):
@@ -22,13 +22,15 @@
 
 class Stage(Struct, frozen=True):
     """`share`: of the zone's servers that are left; `good`: the share at which the last step of a return was borne;
-    `flaps`: returns that failed of late; `by`: who orders it by hand, None where evidence does; `account`: why."""
+    `flaps`: returns that failed of late; `dead`: hardly anything succeeds there, so it is left at once; `by`: who
+    orders it by hand, None where evidence does; `account`: why."""
 
     zone: str
     phase: Literal["leaving", "left", "returning", "back"]
     share: Share
     good: Share = 1.0
     flaps: Annotated[int, Meta(ge=0, le=1000)] = 0
+    dead: bool = False
     by: Annotated[str, Meta(max_length=64)] | None = None
     account: Annotated[str, Meta(max_length=512)] = ""
 
@@ -56,10 +58,12 @@
     verdict: Verdict
     lasted: float  # seconds
     fresh: bool  # whether somebody tried it of late
+    dead: bool  # hardly a try succeeds there
     strained: bool  # some zone that takes over is ill, or slow
     bears: float  # share of the zone's servers that the rest can do without
     stood: float  # seconds since what stands on the zone was first seen
     others_left: bool  # another zone is left, in part or whole
+    told: bool = True  # what those inside the zone see is known, or nobody has said it in time
 
 
 def ceiling(servers: list[int], left: list[float], zone: int, limits: Limits) -> float:
@@ -70,18 +74,25 @@
     return max(0.0, min(1.0, spare / servers[zone])) if servers[zone] else 0.0
 
 
+def patience(dead: bool, limits: Limits) -> float:
+    """Seconds that a zone must be ill: half of it where nothing succeeds any more, which is no matter of degree."""
+    return limits.lasting / 2 if dead else limits.lasting
+
+
 def next_stage(zone: str, stage: Stage | None, sight: Sight, limits: Limits) -> Stage | None:
     """The stage that is to follow now by one supervisor's sight, or None."""
     most = sight.bears
     if stage is None or stage.phase == "back":
         flaps = stage.flaps if stage is not None and sight.stood < limits.rest_most else 0
         # Guards against leaving a second zone for what the first one's load does to it.
-        if sight.verdict is not Verdict.ILL or sight.lasted < limits.lasting or (sight.others_left and sight.strained):
+        if sight.verdict is not Verdict.ILL or sight.lasted < patience(sight.dead, limits):
+            return None
+        if sight.others_left and sight.strained:
             return None
-        share = min(limits.step, most)
+        share = round(min(1.0 if sight.dead else limits.step, most), 6)
         if share <= SMALL:
             return None
-        return Stage(zone, "leaving", share, flaps=flaps,
+        return Stage(zone, "leaving", share, flaps=flaps, dead=sight.dead,
                      account=f"ill for {sight.lasted:.1f} s; the rest bears {most:.2f} of it")  # fmt: skip
     if stage.by is not None or sight.stood < limits.pace:
         return None
@@ -91,12 +102,12 @@
         if sight.strained or stage.share >= most - SMALL:
             why = "who takes over shows strain" if sight.strained else "as far as the rest bears"
             return msgspec.structs.replace(stage, phase="left", account=why)
-        return msgspec.structs.replace(stage, share=min(most, stage.share + limits.step), account="still ill")
+        return msgspec.structs.replace(stage, share=round(min(most, stage.share + limits.step), 6), account="still ill")
     if stage.phase == "left":
         still = sight.fresh and sight.verdict is Verdict.ILL  # by the part that is not left
         if still or sight.stood < min(limits.rest_most, limits.rest * 2**stage.flaps):
             return None
-        share = max(0.0, stage.share - limits.trickle)
+        share = round(max(0.0, stage.share - limits.trickle), 6)
         return msgspec.structs.replace(stage, phase="returning", share=share, good=stage.share, account="a trickle")
     if sight.verdict is Verdict.ILL and sight.fresh and sight.lasted >= limits.lasting / 2:
         return msgspec.structs.replace(stage, phase="left", share=stage.good, flaps=stage.flaps + 1,
@@ -106,7 +117,7 @@
     if stage.share <= SMALL:
         return msgspec.structs.replace(stage, phase="back", share=0.0, good=0.0, account="all of it is back")
     let_in = max(limits.trickle, 1.0 - stage.share)  # as much again as is in: what is in shows what it bears
-    share = max(0.0, stage.share - let_in)
+    share = round(max(0.0, stage.share - let_in), 6)
     why = f"{1 - stage.share:.2f} of it was borne"
     return msgspec.structs.replace(stage, share=share, good=stage.share, account=why)
 
@@ -116,7 +127,7 @@
     if new.by is not None:
         return  # by hand: bounded in time by its record
     if old is None or old.phase == "back":
-        if new.phase != "leaving" or new.share > limits.step + SMALL:
+        if new.phase != "leaving" or (new.share > limits.step + SMALL and not new.dead):
             raise BadStage(f"{new.zone}: leaving begins with a step of {limits.step:g} at the most")
         return
     if old.by is not None and new.phase != "returning":
@@ -156,11 +167,13 @@
     if new.by is not None:
         return True, ""
     if more and new.phase == "leaving":
-        if sight.verdict is Verdict.UNKNOWN:
+        if sight.verdict is Verdict.UNKNOWN or not sight.told:
             return None
         if sight.verdict is not Verdict.ILL:
             return False, f"seen from here: {sight.verdict.value}"
-        return (True, "") if sight.lasted >= limits.lasting / 2 else None
+        if new.dead and not sight.dead and new.share > limits.step + SMALL:
+            return False, "seen from here it is ill, not dead: leave it in steps"
+        return (True, "") if sight.lasted >= patience(new.dead, limits) / 2 else None
     if new.phase in ("returning", "back") and old is not None and old.phase == "returning":
         if sight.verdict is Verdict.ILL and sight.fresh:
             return False, "seen from here the last step is not borne"
--- a/driftshed/lab/grounds.py
+++ b/driftshed/lab/grounds.py
@@ -252,6 +252,7 @@
         self.target = target
         self.proxies: list[ProxyProcess] = []
         self.cut: list[Link] = []
+        self.stages: list[tuple[float, str, dict]] = []
         self.servers: dict = {}  # of the world: by number
         self.faults: list[str] = []
 
--- a/driftshed/lab/run.py
+++ b/driftshed/lab/run.py
@@ -54,6 +54,7 @@
     faults: list[str]
     digest: str  # of all that passed
     events: int
+    stages: list[tuple[float, str, dict]]  # of zones that are left: when, what each supervisor logged
     wall: tuple[float, float]  # seconds of the run, and of judging it
 
     @property
@@ -93,7 +94,7 @@
     played = time.perf_counter()
     outcome = _judge(world, kinds, unix, rows)
     outcome.clock, outcome.policy, outcome.decided, outcome.events = clock, policy, decided, events
-    outcome.faults = ground.faults
+    outcome.faults, outcome.stages = ground.faults, ground.stages
     outcome.wall = round(played - began, 3), round(time.perf_counter() - played, 3)
     return outcome
 
@@ -143,7 +144,7 @@
         over_time, verdict.rules, verdict.breaks, verdict.margins,
         [(round(band.since, 3), round(band.till, 3), band.what) for band in world.bands],
         [(round(sample.at, 3), sample.waiting) for sample in world.samples], facts.queue_cap, _out(world), carried, [],
-        [], digest, 0, (0.0, 0.0),
+        [], digest, 0, [], (0.0, 0.0),
     )  # fmt: skip
 
 
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,278 @@
+"""Leaving zones: evidence and its look-alikes, stages as drawn and explored, the overlay, days in virtual time."""
+
+from random import Random
+
+import msgspec
+import pytest
+
+from driftshed import interface as face
+from driftshed.evacuation.evidence import ENOUGH, Evidence, Lasting, Met, Verdict, dead, verdict
+from driftshed.evacuation.overlay import Overlay
+from driftshed.evacuation.part import read_limits
+from driftshed.evacuation.stages import BadStage, Limits, Sight, Stage, ceiling, follows, next_stage, word
+from driftshed.lab.model import explore
+from driftshed.lab.run import run
+from driftshed.lab.scenario import BadScenario, Link, Sick, Whom, ZoneLost, bare_day, check
+
+FACTS = bare_day("small").facts
+
+FINE, ILL, SLOW = Met(100, 0.0, 1.0), Met(100, 0.6, 1.0), Met(100, 0.0, 4.0)
+ZONES = range(3)
+
+
+def look(**bad: Met) -> dict:
+    """All met each other well, but as said: `a1` is what zone 0's proxies met in zone 1, `x1` what all did."""
+    found = {(here, there): FINE for here in ZONES for there in ZONES}
+    for name, met in bad.items():
+        for here in ZONES if name[0] == "x" else ["abc".index(name[0])]:
+            for there in ZONES if name[1] == "x" else [int(name[1])]:
+                found[here, there] = met
+    return found
+
+
+@pytest.mark.parametrize("seen, said", [
+    (look(), Verdict.WELL),
+    (look(x1=ILL), Verdict.ILL),
+    (look(x1=SLOW), Verdict.ILL),
+    (look(a1=ILL, c1=ILL), Verdict.CUT),  # those inside see it well
+    (look(bx=ILL), Verdict.WELL),  # the zone's own proxies are ill, and see all zones so
+    (look(b1=ILL), Verdict.WELL),  # inside alone
+    (look(xx=SLOW), Verdict.ALIKE),
+    (look(x1=ILL, x0=SLOW, x2=SLOW), Verdict.ALIKE),
+    (look(x1=ILL, a0=ILL), Verdict.ILL),
+    ({}, Verdict.UNKNOWN),
+    ({(0, 1): ILL}, Verdict.UNKNOWN),  # nothing to tell it from
+    ({(0, 1): ILL, (0, 0): FINE, (0, 2): FINE}, Verdict.ILL),
+    ({(0, 1): ILL, (0, 0): ILL, (0, 2): ILL}, Verdict.ALIKE),  # one supervisor's proxies
+])  # fmt: skip
+def test_what_a_look_says_of_a_zone(seen, said):
+    assert verdict(1, seen) is said
+    assert verdict(2, look(x1=ILL)) is Verdict.WELL  # the others are not blamed
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_evidence_agrees_with_a_slow_model_of_it(seed):
+    random, evidence, told = Random(seed), Evidence(FACTS), []
+    for step in range(300):
+        now = step * 0.25
+        for _ in range(random.randrange(4)):
+            here, there, tries = random.randrange(3), random.randrange(3), random.randrange(0, 8)
+            errored = random.randint(0, tries)
+            latency = random.uniform(0.05, 0.4) if tries > errored else None
+            evidence.met(now, here, there, tries, errored, latency)
+            told.append((now, here, there, tries, errored, latency))
+        found = evidence.look(now)
+        for pair in [(a, b) for a in ZONES for b in ZONES]:
+            rows = [row for row in told if row[1:3] == pair and row[0] > now - evidence.window]
+            tries, errored = sum(row[3] for row in rows), sum(row[4] for row in rows)
+            assert (pair in found) == (tries >= ENOUGH)
+            if pair in found:
+                assert found[pair].tries == tries and found[pair].erred == pytest.approx(errored / tries)
+    assert len(evidence.rows) <= 9 and all(len(rows) <= 4 * evidence.window + 1 for rows in evidence.rows.values())
+
+
+def test_silence_ends_no_illness_and_a_new_look_begins_it_anew():
+    lasting = Lasting(3)
+    for now, seen in ((0, look()), (1, look(x1=ILL)), (5, {})):
+        lasting.take(now, seen)
+    assert lasting.now[1] is Verdict.ILL and lasting.lasted(1, Verdict.ILL, 9) == 8 and not lasting.fresh[1]
+    lasting.take(10, look(x1=ILL))
+    assert lasting.lasted(1, Verdict.ILL, 11) == 1 and lasting.fresh[1]
+    assert dead(1, look(x1=Met(9, 0.95, 1.0))) and not dead(1, look(x1=ILL)) and not dead(1, {})
+
+
+# ---- stages ----------------------------------------------------------------------------------------------------
+
+LIMITS = Limits()
+
+
+def sight(what=Verdict.ILL, lasted=100.0, fresh=True, dead=False, strained=False, bears=1.0, stood=1e3, others=False):
+    return Sight(what, lasted, fresh, dead, strained, bears, stood, others)
+
+
+WELL = sight(Verdict.WELL)
+SIGHTS = [
+    WELL, sight(), sight(dead=True), sight(strained=True), sight(bears=0.3), sight(fresh=False),
+    sight(Verdict.UNKNOWN, fresh=False), sight(Verdict.WELL, strained=True), sight(Verdict.CUT), sight(Verdict.ALIKE),
+]  # fmt: skip
+
+
+def step(stage: Stage | None, seen: Sight) -> Stage | None:
+    return next_stage("east", stage, seen, LIMITS)
+
+
+def test_every_stage_that_can_come_follows_and_from_each_there_is_a_way_back():
+    """All stages that any order of sights leads to."""
+
+    def moves(stage):
+        return [(number, after) for number, seen in enumerate(SIGHTS) if (after := step(stage, seen)) is not None
+                and after.flaps < 4]  # fmt: skip
+
+    def wrong(stage):
+        for seen in SIGHTS:
+            after = step(stage, seen)
+            if after is None:
+                continue
+            try:
+                follows(stage, after, LIMITS)
+            except BadStage as error:
+                return f"{stage} to {after}: {error}"
+            before = stage.share if stage is not None else 0.0
+            least = -max(LIMITS.trickle, 1 - before)
+            most = 1.0 if after.dead else max(LIMITS.step, stage.good - before if stage else 0.0)
+            if not least - 1e-9 <= after.share - before <= most + 1e-9:
+                return f"{stage} to {after} is no step"
+        for _ in range(20):  # with a zone that is well it ends
+            stage = step(stage, WELL) or stage
+        return "" if stage is None or stage.phase == "back" else f"{stage} has no way back"
+
+    found = explore(None, moves, wrong, 100_000)
+    assert found.whole and not found.broken and found.states > 50, found
+
+
+def test_a_build_that_skips_steps_is_seen():
+    skipped = Stage("east", "back", 0.0, 0.0)
+    for old in (Stage("east", "left", 1.0), Stage("east", "returning", 0.6)):
+        with pytest.raises(BadStage):
+            follows(old, skipped, LIMITS)
+    with pytest.raises(BadStage, match="at once"):
+        follows(Stage("east", "returning", 0.9), Stage("east", "returning", 0.2), LIMITS)
+    with pytest.raises(BadStage, match="a step"):
+        follows(None, Stage("east", "leaving", 1.0), LIMITS)
+
+
+def test_words_by_own_evidence():
+    leave, more = Stage("east", "leaving", 0.5), Stage("east", "leaving", 1.0, dead=True)
+    assert word(None, leave, sight(), LIMITS) == (True, "")
+    assert word(None, leave, sight(lasted=0.5), LIMITS) is None  # not yet
+    assert word(None, leave, sight(Verdict.UNKNOWN), LIMITS) is None
+    assert word(None, leave, sight()._replace(told=False), LIMITS) is None  # those inside have not spoken yet
+    for seen in (WELL, sight(Verdict.CUT), sight(Verdict.ALIKE), sight(bears=0.2)):
+        assert word(None, leave, seen, LIMITS)[0] is False
+    assert word(None, more, sight(), LIMITS)[1].endswith("leave it in steps")
+    assert word(None, more, sight(dead=True), LIMITS)[0]
+    old, let_in = Stage("east", "returning", 0.8, 0.9), Stage("east", "returning", 0.6, 0.8)
+    assert word(old, let_in, WELL, LIMITS)[0] and not word(old, let_in, sight(), LIMITS)[0]
+    assert word(old, let_in, sight(fresh=False, stood=1.0), LIMITS) is None
+    assert word(old, let_in, sight(fresh=False), LIMITS)[0]  # hardly anybody tries it yet
+    assert not word(old, let_in, sight(Verdict.WELL, strained=True), LIMITS)[0]
+    by_hand = Stage("east", "left", 1.0, by="somebody")
+    assert word(None, by_hand, WELL, LIMITS)[0] and not word(None, by_hand, sight(bears=0.5), LIMITS)[0]
+
+
+def test_a_zone_that_flaps_waits_longer_and_a_second_one_is_not_left_for_the_firsts_load():
+    stage = Stage("east", "returning", 0.8, 0.9, flaps=1)
+    failed = step(stage, sight(lasted=LIMITS.lasting))
+    assert (failed.phase, failed.share, failed.flaps) == ("left", 0.9, 2)
+    assert step(failed, sight(Verdict.WELL, stood=LIMITS.rest * 4 - 1)) is None
+    assert step(failed, sight(Verdict.WELL, stood=LIMITS.rest * 4)).phase == "returning"
+    assert step(msgspec.structs.replace(failed, flaps=50), WELL) is not None  # bounded
+    assert step(None, sight(strained=True, others=True)) is None and step(None, sight(others=True)) is not None
+    assert ceiling([10, 10, 10], [1.0, 0.0, 0.0], 1, LIMITS) == pytest.approx(0.5)
+    assert ceiling([10, 10, 10], [1.0, 0.5, 0.0], 2, LIMITS) == 0.0 == ceiling([0, 5, 5], [0.0] * 3, 0, LIMITS)
+
+
+def test_limits_as_text():
+    assert read_limits("pace=3, step=0.25") == Limits(pace=3, step=0.25) and read_limits("") == Limits()
+    for bad in ("pace=0", "speed=1", "step=2", "pace=x", "pace"):
+        with pytest.raises(ValueError):
+            read_limits(bad)
+
+
+# ---- the overlay ------------------------------------------------------------------------------------------------
+
+
+def entry(number: int, zone: int, state: int = face.READY, started=None) -> face.Entry:
+    return face.Entry(bytes([0, 0, 0, number, 31, 64]), zone, 0, started, 0, state, 1.0)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_the_overlay_told_by_changes_is_the_overlay_told_whole(seed):
+    random, overlay, told, listed = Random(seed), Overlay(3), {}, {}
+    for version in range(1, 200):
+        now = float(version)
+        if random.random() < 0.3:
+            shares = [random.choice([0.0, 0.0, 0.1, 0.5, 1.0]) for _ in ZONES]
+            news = overlay.take(shares, version, now)
+        else:
+            number = random.randrange(30)
+            new = entry(number, number % 3, random.choice([face.READY, face.READY, face.DRAINING, face.GONE]),
+                        random.choice([None, now]))  # fmt: skip
+            kind = face.DELTA if random.random() < 0.9 else face.FULL
+            if kind == face.FULL:
+                listed = {}
+            listed[new.server] = new
+            if new.state == face.GONE:
+                del listed[new.server]
+            rows = (new,) if kind == face.DELTA else (*listed.values(), *([new] if new.state == face.GONE else []))
+            news = overlay.hear(face.Listing(version, kind, rows), now)
+        if news is not None:
+            if news.kind != face.DELTA:
+                told = {}
+            told |= {each.server: each for each in news.entries}
+            told = {name: each for name, each in told.items() if each.state != face.GONE}
+        whole = Overlay(3)
+        whole.entries, whole.shares, whole.back_at = overlay.entries, overlay.shares, overlay.back_at
+        whole.out = whole.wanted()
+        assert told == {name: whole._shown(each) for name, each in overlay.entries.items()}
+        ready = [each for each in listed.values() if each.state == face.READY]
+        assert not ready or any(told[each.server].state == face.READY for each in ready)  # nobody is left bare
+
+
+def test_what_comes_back_is_told_as_cold_and_lots_are_alike_for_all():
+    one, two = Overlay(3), Overlay(3)
+    rows = [entry(number, number % 3) for number in range(30)]
+    for overlay, order in ((one, rows), (two, rows[::-1])):
+        overlay.hear(face.Listing(1, face.FULL, tuple(order)), 1.0)
+        overlay.take([0.0, 0.4, 0.0], 1, 5.0)
+    assert one.out == two.out and len(one.out) == 4
+    back = one.take([0.0, 0.0, 0.0], 1, 9.0)
+    assert {each.started for each in back.entries} == {9.0} and len(back.entries) == 4
+
+
+# ---- days in virtual time ------------------------------------------------------------------------------------------
+
+
+def day(*troubles, leave: bool = True, seconds: float = 30.0):
+    made = bare_day("small", seconds, 0.5)
+    made.fleet = msgspec.structs.replace(
+        made.fleet, store=True, supervisors=3, leave_zones=leave, zone_limits="rest=5")  # fmt: skip
+    made.troubles = list(troubles)
+    return check(made)
+
+
+def shares(outcome) -> list[float]:
+    return [stage[2]["shares"]["east"] for stage in outcome.stages if stage[1] == "zones" and stage[2]["by"] == 0]
+
+
+@pytest.mark.parametrize("troubles", [
+    [Link(6.0, 12.0, "west", "east", cut=True)],
+    [Link(6.0, 12.0, "west", "east", cut=True), Link(6.0, 12.0, "north", "east", cut=True)],
+    [Sick(6.0, 10.0, "slow", 5.0, Whom(share=1.0))], [Sick(6.0, 12.0, "errors", 0.7, Whom(count=2, zone="east"))],
+], ids=["a way cut", "a zone cut off whose inside is well", "all slow alike", "two servers"])  # fmt: skip
+def test_nobody_leaves_where_nobody_should(troubles):
+    outcome = run(day(*troubles), 1)
+    assert outcome.kept, outcome.breaks
+    assert not shares(outcome)
+
+
+def test_a_zone_that_hangs_is_left_by_all_and_comes_back_in_steps():
+    trouble = Sick(6.0, 12.0, "hang", 1.0, Whom(share=1.0, zone="east"))
+    left, stays = run(day(trouble, seconds=60.0), 1), run(day(trouble, leave=False, seconds=60.0), 1)
+    assert left.kept and stays.kept, (left.breaks, stays.breaks)
+    rows = [(row["by"], at, row["shares"]["east"]) for at, what, row in left.stages if what == "zones"]
+    by = {number: [row[1:] for row in rows if row[0] == number] for number in range(3)}
+    assert [share for _, share in by[0]] == [share for _, share in by[1]] == [share for _, share in by[2]]
+    assert by[0][0][0] < 14.0 and max(share for _, share in by[0]) == 1.0 and by[0][-1][1] == 0.0 and len(by[0]) > 4
+    assert all(max(at) - min(at) < 0.5 for at in zip(*([at for at, _ in rows] for rows in by.values()), strict=True))
+    assert left.service > stays.service and not stays.stages
+
+
+def test_a_dead_zone_is_left_at_once():
+    outcome = run(day(ZoneLost(6.0, 10.0, "east")), 1)
+    assert outcome.kept and shares(outcome)[0] == 1.0, outcome.stages
+    # Cut off from everybody, its proxies with it: what is seen of it is the same, and nobody inside can be told.
+    assert shares(run(day(Link(6.0, 10.0, "east", "", cut=True)), 1))[0] == 1.0
+    with pytest.raises(BadScenario, match="pace"):
+        bad = day(ZoneLost(6.0, 10.0, "east"))
+        check(msgspec.structs.replace(bad, fleet=msgspec.structs.replace(bad.fleet, zone_limits="pace=0")))
