--- a/driftshed/evacuation/part.py
+++ b/driftshed/evacuation/part.py
@@ -125,8 +125,8 @@
         )  # fmt: skip
 
     def _said_inside(self, zone: str) -> set[str]:
-        """What the other living supervisors that serve a zone's own proxies say that these met there; "" of one that has
-        not spoken."""
+        """What the other living supervisors that serve a zone's own proxies say that these met there; "" of one that
+        has not spoken."""
         members = (each.member for each in self.agent.roll.living().values())
         return {each.inside.get(zone, "") for each in members if each.zones.get(zone) and each.name != self.agent.name}
 
