--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -17,13 +17,14 @@
 from driftshed.day.script import BadScript, Script, load_script
 from driftshed.day.stage import Stage, play
 from driftshed.day.tamper import RULES
+from driftshed.day.zones import RULE as ZONES
 
 
 @click.command()
 @click.argument("name")
 @option("seed", type=click.IntRange(0, 2**31), default=1, help="of the day's chance")
 @click.option("--json", "as_json", is_flag=True, help="print one object and nothing else")
-@click.option("--tamper", type=click.Choice(RULES + ACCORD), help="break this rule between the parts")
+@click.option("--tamper", type=click.Choice((*RULES, *ACCORD, ZONES)), help="break this rule between the parts")
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="keep record and logs in this folder")
 @click.option("--trace", type=click.Path(file_okay=False, path_type=Path), help="write traces into this folder")
 @click.option("--without-faults", is_flag=True, help="the same day without its troubles of supervisors and store")
@@ -41,6 +42,8 @@
         raise click.BadParameter(str(error), param_hint="NAME") from None
     if without_faults:
         script = without(script)
+    if tamper == ZONES and not script.fleet.leave_zones:
+        raise click.BadParameter("zones: where zones are left; play `zone`", param_hint="--tamper")
     if tamper in ACCORD and script.fleet.supervisors == 1:
         raise click.BadParameter(f"{tamper}: of several supervisors alone; play `fleet`", param_hint="--tamper")
 
@@ -60,7 +63,7 @@
         click.echo(json.dumps({
             "rules": verdict.rules, "service": round(verdict.service, 4), "seed": seed, "seconds": script.seconds,
             "events": stage.events, "name": name, "asked": verdict.asked, "breaks": verdict.breaks,
-            "operations": {name: round(share, 4) for name, share in verdict.operations.items()},
+            "left": verdict.left, "operations": {name: round(share, 4) for name, share in verdict.operations.items()},
         }))  # fmt: skip
     else:
         _print(name, seed, script, stage.events, verdict, size)
@@ -79,6 +82,10 @@
     for rule, row in verdict.rules.items():
         said = "BROKEN" if row["broken"] else "kept" if row["checked"] else "not checked on this day"
         click.echo(f"{rule:9} {said:8} checked {row['checked']}, broken {row['broken']}")
+    for zone, rows in verdict.left.items():
+        for owner, shares in sorted(rows.items()):
+            said = ", ".join(f"{share:.0%} at {at:g} s" for at, share in shares)
+            click.echo(f"left of {zone} by supervisor {owner}: {said}")
     for text in verdict.breaks:
         click.echo(f"  {text}")
     parts = ", ".join(f"{name} {share:.3f}" for name, share in verdict.operations.items())
--- a/driftshed/day/fleet.py
+++ b/driftshed/day/fleet.py
@@ -45,11 +45,12 @@
 
 class FleetStage:
     """`supervisors` and `proxies` are counts. `timeout`: of the supervisors' sessions; `silence`: seconds after which a
-    stream without a poll has ended; `hears_within`: seconds until a proxy gives a silent supervisor up."""
+    stream without a poll has ended; `hears_within`: seconds until a proxy gives a silent supervisor up; `more`: flags
+    of supervisors."""
 
     def __init__(
         self, folder: Path, supervisors: int = 3, proxies: int = 6, timeout: float = 1.5, silence: float = 2.0,
-        hears_within: float = 2.0,
+        hears_within: float = 2.0, more: tuple[str, ...] = (),
     ) -> None:  # fmt: skip
         self.loop = Loop()
         net, self.lock = free_net(os.getpid())
@@ -71,7 +72,7 @@
                 "supervise", "--listen", f"{listen[0]}:{listen[1]}", "--advertise", f"{told[0]}:{told[1]}",
                 "--operation", OPERATION, "--proxies", str(proxies), "--supervisors", str(supervisors), "--silence",
                 str(silence), "--name", name, "--expected", ",".join(self.names), "--fleet-connect",
-                f"{store[0]}:{store[1]}", "--fleet-timeout", str(timeout),
+                f"{store[0]}:{store[1]}", "--fleet-timeout", str(timeout), *more,
             ], folder / f"{name}.log")  # fmt: skip
         self.proxies = []
         for k in range(proxies):
--- a/driftshed/day/judge.py
+++ b/driftshed/day/judge.py
@@ -54,6 +54,8 @@
         self.rules = {rule: {"checked": 0, "broken": 0} for rule in ("bare", "twice", "drains", "failback", "queue")}
         self.breaks: list[str] = []
         self.service, self.operations, self.asked = 0.0, {}, 0
+        # By zone and supervisor, where zones are left: when it read which share stands.
+        self.left: dict[str, dict[int, list[tuple[float, float]]]] = {}
         self.margins: dict[str, float] = {}  # by rule: the most that was used of what it allows
 
     def used(self, rule: str, share: float) -> None:
@@ -518,7 +520,12 @@
              and trouble.side != "store" for proxy in range(script.facts.proxies)]  # fmt: skip
     case = Case(script.facts, cast, lambda number: script.machine(cast.kind_of_server(number)), script.seconds, cuts,
                 kills, began, kinds, owner, pauses)  # fmt: skip
-    verdict = Judge(case).judge()
+    found = Judge(case)
+    verdict = found.judge()
     if len(names) > 1:
         judge_accord(verdict, kinds, owner)
+    if script.fleet.leave_zones:
+        from driftshed.day.zones import judge_zones  # built on the judge
+
+        judge_zones(found)
     return verdict
--- a/driftshed/day/rigged.py
+++ b/driftshed/day/rigged.py
@@ -17,6 +17,8 @@
 from driftshed.coordination import taking_part
 from driftshed.coordination.agent import Agent
 from driftshed.day.accord import RULES, Ordered
+from driftshed.day.zones import RULE as ZONES
+from driftshed.evacuation.overlay import Overlay
 from driftshed.net.http import HttpClient
 from driftshed.net.loop import Timers
 from driftshed.proxy.follow import Follower
@@ -78,6 +80,8 @@
             write(self, request, then)
 
         Agent._write = over
+    elif guard == "zones":  # agrees, and does not do it
+        Overlay.wanted = lambda self: set()
     elif guard == "owners":  # a proxy whose terms do not rise
         dial = Follower._dial
 
@@ -92,7 +96,7 @@
 @click.option("--orders-to", default="", help="address:port of the rig")
 @click.option("--clock-off", default=0.0, help="seconds that the wall clock is ahead")
 @click.option("--slow-disk", default=0.0, help="seconds that each sync takes besides")
-@click.option("--take-out", "guard", type=click.Choice(RULES))
+@click.option("--take-out", "guard", type=click.Choice([*RULES, ZONES]))
 @click.argument("command", nargs=-1, type=click.UNPROCESSED)
 def rigged(orders_to: str, clock_off: float, slow_disk: float, guard: str | None, command: tuple[str, ...]) -> None:
     """Runs COMMAND of driftshed, changed as told."""
--- a/driftshed/day/script.py
+++ b/driftshed/day/script.py
@@ -40,6 +40,8 @@
     hears_within: Span = 2.0  # until a proxy gives a silent one up
     slow_disk: At = 0.0  # seconds that each sync of the store takes besides
     clocks_off: At = 0.0  # seconds: by so much, drawn, the wall clocks of supervisors are off, either way
+    leave_zones: bool = False  # zones that fail are left as a fleet
+    zone_limits: str = ""  # as `--zone-limits`
 
 
 class Traffic(Struct, forbid_unknown_fields=True):
@@ -63,21 +65,23 @@
 
 
 class Restart(Struct, tag="restart", forbid_unknown_fields=True):
-    """Servers die at once and come back cold."""
+    """Servers die at once and come back cold: some, or all of a zone."""
 
     at: At
-    servers: Many
+    servers: Many = 1
     down: Span = 2.0
+    zone: str = ""
 
 
 class Sick(Struct, tag="sick", forbid_unknown_fields=True):
-    """Servers that hang, answer errors at once, or are slow."""
+    """Servers that hang, answer errors at once, or are slow: some, or all of a zone."""
 
     at: At
     lasts: Span
     how: Literal["hang", "errors", "slow"]
     servers: Many = 1
     size: Annotated[float, Meta(gt=0, le=100)] = 1.0  # share of errors; times slower
+    zone: str = ""
 
 
 class LateRoster(Struct, tag="late-roster", forbid_unknown_fields=True):
@@ -253,6 +257,8 @@
     if not len(script.traffic.shares) == len(script.traffic.work) == len(facts.operations):
         raise BadScript(f"{name}: traffic.shares and traffic.work need one entry for each operation")
     few = script.fleet.supervisors == 1
+    if few and script.fleet.leave_zones:
+        raise BadScript(f"{name}: fleet.leave_zones: zones are left as a fleet, of more than one supervisor")
     if script.drawn and (few or script.drawn.till <= script.drawn.since):
         raise BadScript(f"{name}: drawn: more than one supervisor and a span of time are wanted")
     if not few and not script.fleet.store:
@@ -267,6 +273,6 @@
             raise BadScript(f"{name}: {kind} at {trouble.at} s wants more than {script.fleet.supervisors} supervisors")
         if isinstance(trouble, LateRoster) and script.fleet.store:
             raise BadScript(f"{name}: late-roster at {trouble.at} s: a store does not lag; take store-pause")
-        if isinstance(trouble, Cut) and trouble.zone not in facts.zones:
-            raise BadScript(f"{name}: cut: zone {trouble.zone!r} is none of {', '.join(facts.zones)}")
+        if getattr(trouble, "zone", "") and trouble.zone not in facts.zones:
+            raise BadScript(f"{name}: {kind}: zone {trouble.zone!r} is none of {', '.join(facts.zones)}")
     return script
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -254,8 +254,10 @@
                 self.names[k], "--expected", ",".join(self.names), "--advertise",
                 f"{host}.{CONTROLS + k}:{CONTROL_PORT}", "--supervisors", str(len(self.names)),
             ]  # fmt: skip
+            if fleet.leave_zones:
+                supervisor.more += ["--leave-zones", "--zone-limits", fleet.zone_limits]
             off = fleet.clocks_off * self.random.uniform(-1, 1)
-            taken_out = ["--take-out", self.tamper] if self.tamper in ("leases", "epochs") else []
+            taken_out = ["--take-out", self.tamper] if self.tamper in ("leases", "epochs", "zones") else []
             supervisor.program = ("driftshed.day.rigged", "--orders-to", f"{host}.3:{ORDER_PORT}", "--clock-off",
                                   f"{off:.3f}", *taken_out, "--")  # fmt: skip
         self.supervisors.append(supervisor)
@@ -365,10 +367,12 @@
 
     # ---- troubles ---------------------------------------------------------------------------------------------
 
-    def _some(self, count: int) -> list[int]:
-        """Servers that are well, drawn by chance."""
+    def _some(self, count: int, zone: str = "") -> list[int]:
+        """Servers that are well, drawn by chance, or all of a zone."""
         well = [n for n, server in self.servers.items()
                 if n not in self.gone and server.up and not server.ills]
+        if zone:
+            return [n for n in well if self.facts.zones[self.cast.zone_of_server(n)] == zone]
         return sorted(self.random.sample(well, min(count, len(well))))
 
     def _begin_deploy(self, trouble: says.Deploy) -> None:
@@ -409,14 +413,14 @@
         self.roster.change(self._listed(number))
 
     def _begin_restart(self, trouble: says.Restart) -> None:
-        for number in self._some(trouble.servers):
+        for number in self._some(trouble.servers, trouble.zone):
             self._note("dies", server=self.cast.server(number))
             self.servers[number].stop()
             self.roster.change(self._listed(number, "gone"))
             self.loop.after(trouble.down, lambda number=number: self._begin_cold(number))
 
     def _begin_sick(self, trouble: says.Sick) -> None:
-        numbers = self._some(trouble.servers)
+        numbers = self._some(trouble.servers, trouble.zone)
         for number in numbers:
             server = self.servers[number]
             self._note(trouble.how, server=self.cast.server(number))
--- a/tests/test_day_fleet.py
+++ b/tests/test_day_fleet.py
@@ -163,20 +163,62 @@
     assert CliRunner().invoke(day, ["quiet", "--tamper", "leases"]).exit_code == 2
 
 
+ZONE_FAULTS = """
+[[troubles]]
+type = "kill"
+at = 10
+down = 2
+who = 0
+
+[[troubles]]
+type = "store-down"
+at = 12.5
+down = 1.0
+
+[[troubles]]
+type = "apart"
+at = 19
+lasts = 3
+who = 2
+side = "store"
+
+[[troubles]]
+type = "sick"
+how = "hang"
+at = 5
+lasts = 6
+zone = "east"
+"""
+
+
+def played(path, tamper: str | None) -> dict:
+    command = [sys.executable, "-m", "driftshed.cli", "day", str(path), "--json"]
+    more = ["--tamper", tamper] if tamper else []
+    done = subprocess.run([*command, *more], capture_output=True, text=True, timeout=120)
+    assert done.returncode in (0, 1), done.stderr
+    return json.loads(done.stdout)
+
+
+def test_a_zone_is_left_and_returned_to_while_supervisors_and_store_fail(tmp_path):
+    path = tmp_path / "day.toml"
+    text = (resources.files("driftshed.day") / "scripts" / "zone.toml").read_text()
+    path.write_text(text.replace("seconds = 44", "seconds = 34").partition("[drawn]")[0] + ZONE_FAULTS)
+    with ThreadPoolExecutor(2) as pool:
+        kept, tampered = pool.map(lambda tamper: played(path, tamper), (None, "zones"))
+    assert not kept["breaks"], kept["breaks"]
+    assert kept["rules"]["zones"]["checked"] >= 3 and set(kept["left"]) == {"east"}
+    for shares in kept["left"]["east"].values():  # each supervisor, the one that was killed as well
+        assert max(share for _, share in shares) > 0.4
+    assert tampered["rules"]["zones"]["broken"], tampered
+
+
 def test_a_fleet_day_keeps_all_rules_and_each_guard_taken_out_is_seen(tmp_path):
     path = tmp_path / "day.toml"
     text = (resources.files("driftshed.day") / "scripts" / "fleet.toml").read_text()
     path.write_text(text.replace("seconds = 40", "seconds = 14").partition("[drawn]")[0] + FAULTS)
 
-    def play(tamper: str | None) -> dict:
-        command = [sys.executable, "-m", "driftshed.cli", "day", str(path), "--json"]
-        more = ["--tamper", tamper] if tamper else []
-        done = subprocess.run([*command, *more], capture_output=True, text=True, timeout=120)
-        assert done.returncode in (0, 1), done.stderr
-        return json.loads(done.stdout)
-
     with ThreadPoolExecutor(2) as pool:
-        kept, *tampered = pool.map(play, (None, *RULES))
+        kept, *tampered = pool.map(lambda tamper: played(path, tamper), (None, *RULES))
     assert all(row["checked"] and not row["broken"] for row in kept["rules"].values()), kept
     for rule, said in zip(RULES, tampered, strict=True):
         assert said["rules"][rule]["broken"], (rule, said)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -121,6 +121,37 @@
     assert stage.states("s0")["s1"] == "silent"
 
 
+def test_zones_by_hand_from_any_supervisor(tmp_path):
+    def zone(*words, at="s0"):
+        host, port = stage.addresses[at]
+        command = [sys.executable, "-m", "driftshed.cli", "zone", *words, "--supervisor", f"{host}:{port}"]
+        return subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+    stage = FleetStage(tmp_path, 2, 2, TIMEOUT, more=("--leave-zones", "--zone-limits", "ceiling=1,pace=0.3"))
+    try:
+        stage.open()
+        everybody_up(stage)
+        rows = json.loads(zone("status", "--json").stdout)
+        assert [(row["zone"], row["share"], row["stage"]) for row in rows] == [("east", 0.0, None)]
+        refused = zone("leave", "nowhere")
+        assert refused.returncode == 1 and "is none of east" in refused.stderr
+        assert "nothing of east is left" in zone("return", "east").stderr
+        dry = zone("leave", "east", "--dry-run")
+        assert dry.returncode == 0 and dry.stdout.startswith("would be: east left, 100%")
+        assert zone("leave", "east", "--for", "600").returncode == 0
+        for name in stage.names:  # agreed, and seen by each; the one server stays, since nobody else would serve
+            stage.until(lambda name=name: json.loads(zone("status", "--json", at=name).stdout)[0]["share"] == 1.0)
+        row = json.loads(zone("status", "--json", at="s1").stdout)[0]["stage"]
+        assert row["phase"] == "left" and row["by"] and "100%" in zone("status").stdout
+        assert stage.joined("s0") | stage.joined("s1") == {0, 1}
+        assert zone("return", "east", at="s1").returncode == 0
+        stage.until(lambda: json.loads(zone("status", "--json").stdout)[0]["share"] < 1.0)
+        stage.supervisors["s1"].kill()
+        assert zone("status", at="s1").returncode == 3
+    finally:
+        stage.close()
+
+
 def test_the_command_shows_the_fleet_from_a_supervisor_and_from_the_store(stage):
     def fleet(*flags):
         return subprocess.run([sys.executable, "-m", "driftshed.cli", "fleet", *flags], capture_output=True, text=True,
