--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -1,4 +1,4 @@
-"""Zones that fail, left as a fleet and not: the same drawn days both ways, in virtual time; and days on which no zone fails.
+"""Zones that fail, left as a fleet and not: the same drawn days both ways, in virtual time; days on which none does.
 
     python -m benchmarks.zones paired [DAYS] [SIZE]
     python -m benchmarks.zones false [DAYS]
--- a/driftshed/evacuation/evidence.py
+++ b/driftshed/evacuation/evidence.py
@@ -46,6 +46,7 @@
         self.learns = 1 / USUAL_OVER
         self.rows: dict[tuple[int, int], deque[tuple]] = {}  # when, tries, errored, latencies, good
         self.usual: dict[tuple[int, int], float] = {}
+        self.busy: dict[tuple[int, int], float] = {}  # invocations under way at a time, as is usual
 
     def met(self, now: float, here: int, there: int, tries: int, errored: int, latency: float | None) -> None:
         """Proxies of zone `here` made tries in zone `there`; `latency`: mean of the good ones, in seconds."""
@@ -74,6 +75,9 @@
             met = Met(tries, errored / tries, mean / usual if mean and usual else 1.0)
             if mean and (usual is None or not met.ill):  # what is ill does not become usual
                 self.usual[pair] = mean if usual is None else usual + self.learns * (mean - usual)
+                held = good * mean / self.window
+                busy = self.busy.get(pair, held)
+                self.busy[pair] = busy + self.learns * (held - busy)
             found[pair] = met
         return found
 
--- a/driftshed/evacuation/part.py
+++ b/driftshed/evacuation/part.py
@@ -14,7 +14,18 @@
 from driftshed.core.hub import Refused
 from driftshed.evacuation.evidence import Evidence, Lasting, Verdict, dead
 from driftshed.evacuation.overlay import Overlay
-from driftshed.evacuation.stages import SMALL, BadStage, Limits, Sight, Stage, ceiling, follows, next_stage, word
+from driftshed.evacuation.stages import (
+    SMALL,
+    BadStage,
+    Limits,
+    Sight,
+    Stage,
+    bearing,
+    ceiling,
+    follows,
+    next_stage,
+    word,
+)
 from driftshed.net.loop import Timers
 from driftshed.supervisor.service import Service
 
@@ -94,6 +105,12 @@
             return msgspec.structs.replace(stage, by=None, phase="left", account=f"{stage.by}'s order is over")
         return stage
 
+    def _warmth(self, entry: face.Entry, now: float) -> float:
+        if entry.started is None or now >= entry.started + self.facts.warm_within:
+            return 1.0
+        cold = self.facts.cold_share
+        return cold + (1 - cold) * max(0.0, now - entry.started) / self.facts.warm_within
+
     def _over(self, standing: agreement.Standing) -> bool:
         """Whether an order by hand has bound for its time, here by our own clock."""
         since = next((at for epoch, at in self.stood.values() if epoch == standing.epoch), self.loop.clock())
@@ -101,9 +118,16 @@
 
     def sight(self, zone: int) -> Sight:
         now, name = self.loop.clock(), self.zones[zone]
-        servers = [0] * len(self.zones)
+        servers, capacity = [0] * len(self.zones), [0.0] * len(self.zones)
         for entry in self.overlay.entries.values():
-            servers[entry.zone] += entry.state == face.READY
+            if entry.state == face.READY:
+                servers[entry.zone] += 1
+                capacity[entry.zone] += self._warmth(entry, now) * (
+                    entry.weight if self.facts.listed_weights != "off" else 1.0)  # fmt: skip
+        # Each supervisor hears of its own proxies alone: the rest are taken to bring as much each.
+        scale = self.facts.proxies / max(1, len(self.service.polls))
+        busy = [scale * sum(held for (_, there), held in self.evidence.busy.items() if there == k)
+                for k in range(len(self.zones))]  # fmt: skip
         takers = [met for (_, there), met in self.look.items() if there != zone and not self.shares[there]]
         strained = any(met.ill or met.slow >= STRAIN for met in takers)
         topic = self.agent.topics.get(TOPIC + name)
@@ -119,7 +143,8 @@
         return Sight(
             verdict, self.lasting.lasted(zone, verdict, now), self.lasting.fresh[zone],
             dead(zone, self.look), strained,
-            ceiling(servers, self.shares, zone, self.limits), now - self.stood[zone][1],
+            min(ceiling(servers, self.shares, zone, self.limits),
+                bearing(busy, capacity, self.shares, zone, self.limits)), now - self.stood[zone][1],
             any(share > 0 for other, share in enumerate(self.shares) if other != zone),
             own or "" not in inside or now - opened >= TOLD_WITHIN,
         )  # fmt: skip
--- a/driftshed/evacuation/stages.py
+++ b/driftshed/evacuation/stages.py
@@ -41,7 +41,8 @@
 class Limits(NamedTuple):
     """Of the operator. Seconds and shares: `lasting`: that a zone must be ill; `pace`: between stages at the least;
     `step`: of a zone's servers that leave at once; `trickle`: that a return begins with; `rest`: before a return,
-    doubled with each that failed up to `rest_most`; `ceiling`: of all servers that may be left at a time."""
+    doubled with each that failed up to `rest_most`; `ceiling`: of all servers that may be left at a time; `full`: of
+    invocations under way at a time on one listed weight of a warm server, above which it is full; 0: not known."""
 
     lasting: float = 4.0
     pace: float = 2.0
@@ -50,6 +51,7 @@
     rest: float = 10.0
     rest_most: float = 160.0
     ceiling: float = 0.5
+    full: float = 0.0
 
 
 class Sight(NamedTuple):
@@ -74,6 +76,16 @@
     return max(0.0, min(1.0, spare / servers[zone])) if servers[zone] else 0.0
 
 
+def bearing(busy: list[float], capacity: list[float], left: list[float], zone: int, limits: Limits) -> float:
+    """The share of a zone whose work the rest can take on, by zone what is under way at a time and the weight of its
+    servers as warm as they are; 1.0 where it is not known when a server is full."""
+    if not limits.full or busy[zone] <= 0:
+        return 1.0
+    spare = sum(max(0.0, limits.full * c * (1 - s) - b)
+                for k, (b, c, s) in enumerate(zip(busy, capacity, left, strict=True)) if k != zone)  # fmt: skip
+    return min(1.0, spare / busy[zone])
+
+
 def patience(dead: bool, limits: Limits) -> float:
     """Seconds that a zone must be ill: half of it where nothing succeeds any more, which is no matter of degree."""
     return limits.lasting / 2 if dead else limits.lasting
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -9,7 +9,7 @@
 from driftshed.evacuation.evidence import ENOUGH, Evidence, Lasting, Met, Verdict, dead, verdict
 from driftshed.evacuation.overlay import Overlay
 from driftshed.evacuation.part import read_limits
-from driftshed.evacuation.stages import BadStage, Limits, Sight, Stage, ceiling, follows, next_stage, word
+from driftshed.evacuation.stages import BadStage, Limits, Sight, Stage, bearing, ceiling, follows, next_stage, word
 from driftshed.lab.model import explore
 from driftshed.lab.run import run
 from driftshed.lab.scenario import BadScenario, Link, Sick, Whom, ZoneLost, bare_day, check
@@ -172,6 +172,17 @@
     assert ceiling([10, 10, 10], [1.0, 0.5, 0.0], 2, LIMITS) == 0.0 == ceiling([0, 5, 5], [0.0] * 3, 0, LIMITS)
 
 
+def test_the_rest_bears_what_it_has_room_for():
+    known = Limits(full=2.0)
+    busy, capacity = [6.0, 6.0, 6.0], [10.0, 5.0, 5.0]
+    assert bearing(busy, capacity, [0.0] * 3, 0, known) == 1.0  # 4 and 4 free for 6
+    assert bearing(busy, [10.0, 5.0, 3.5], [0.0] * 3, 0, known) == pytest.approx(5 / 6)
+    assert bearing(busy, capacity, [0.0, 1.0, 0.0], 0, known) == pytest.approx(4 / 6)  # one is left already
+    assert bearing([6.0, 12.0, 12.0], capacity, [0.0] * 3, 0, known) == 0.0
+    assert bearing(busy, capacity, [0.0] * 3, 0, LIMITS) == 1.0  # not known
+    assert bearing([0.0, 6.0, 6.0], capacity, [0.0] * 3, 0, known) == 1.0
+
+
 def test_limits_as_text():
     assert read_limits("pace=3, step=0.25") == Limits(pace=3, step=0.25) and read_limits("") == Limits()
     for bad in ("pace=0", "speed=1", "step=2", "pace=x", "pace"):
