--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -120,6 +120,7 @@
     ) -> None:  # fmt: skip
         self.loop, self.root, self.log, self.timeout = loop, root, log, timeout
         self.lease, self.roll = Lease(timeout, drift, pause), Roll(expected, loop.clock())
+        self.addresses: list[str] = []  # where proxies may dial, by the roll as it stands
         self.topics: dict[str, Topic] = {}
         self.gone: dict[str, int] = {}  # epochs of topics that were swept
         # Guards against two processes of one name whose proposals look alike: whose it is tells who reads it again.
@@ -217,8 +218,17 @@
 
     def agreed(self, topic: str) -> agreement.Standing | None:
         """What stands on a topic, to act on now; None without a lease, and where nothing is settled."""
+        return self.standing(topic) if self.holds() else None
+
+    def standing(self, topic: str) -> agreement.Standing | None:
+        """What stands on a topic as it was last read, lease or not: to look at, not to act on anew."""
+        known = self.topics.get(topic)
+        return known.record.standing if known is not None and known.record is not None else None
+
+    def is_open(self, topic: str) -> bool:
+        """Whether a proposal waits on a topic, as it was last read."""
         known = self.topics.get(topic)
-        return known.record.standing if known is not None and known.record is not None and self.holds() else None
+        return known is not None and known.record is not None and known.record.state == "open"
 
     # ---- members ----------------------------------------------------------------------------------------------
 
@@ -247,6 +257,7 @@
         self._rolled()
 
     def _rolled(self) -> None:
+        self.addresses = self.roll.addresses()
         self.on_roll()
         self._look_all()
 
--- a/driftshed/coordination/taking_part.py
+++ b/driftshed/coordination/taking_part.py
@@ -45,7 +45,7 @@
     names = roll_of(name, expected)
     seed = int.from_bytes(os.urandom(6), "big") if seed is None else seed
     agent = Agent(loop, hosts, root, member, names, timeout, seed, log, dial)
-    service.living = agent.roll.addresses
+    service.living = lambda: agent.addresses
     service.views["fleet"] = lambda: plain(agent.view())
     zones = service.instance.facts.zones
 
@@ -66,7 +66,7 @@
         agent.leave()
         done()
 
-    others = [each for each in agent.roll.addresses() if each != agent.chair.node.address]
+    others = [each for each in agent.addresses if each != agent.chair.node.address]
     if not others:
         gone()
         return
--- a/driftshed/day/accord.py
+++ b/driftshed/day/accord.py
@@ -34,19 +34,12 @@
 ORDERED = msgspec.json.Decoder(Ordered)
 
 
-class _Written(Struct, frozen=True):
-    """A record as somebody read it, or as it was surely written."""
-
-    at: float
-    record: agreement.Record
-
-
 class Accord:
     """`broken(rule, text)` is called for each break, `check(rule)` for each look."""
 
     def __init__(self, kinds: dict[str, list], owner: Callable[[str], int], check: Callable, broken: Callable) -> None:
         self.kinds, self.owner, self.check, self.broken = kinds, owner, check, broken
-        self.records: list[_Written] = []
+        self.records: list[agreement.Record] = []  # as somebody read them, or as they were surely written
         # By start of a supervisor: when it had made its node, and when anybody was told that it is gone.
         self.stays: dict[str, list[tuple[float, bool]]] = defaultdict(list)
         for talk in kinds.get(STORED, []):
@@ -71,23 +64,23 @@
                     self.stays[node].append((at, False))
                 there = now
             elif isinstance(request, jute.GetData) and path.startswith(records):
-                self._add(at, path, result[0])
+                self._add(path, result[0])
             elif isinstance(request, jute.SetData) and path.startswith(records):
-                self._add(at, path, request.data)
+                self._add(path, request.data)
             elif isinstance(request, jute.Multi) and not any(isinstance(each, int) for each in result):
                 for part in request.parts:
                     if isinstance(part, jute.Create | jute.SetData) and part.path.startswith(records):
-                        self._add(at, part.path, part.data)
+                        self._add(part.path, part.data)
 
-    def _add(self, at: float, path: str, data: bytes) -> None:
+    def _add(self, path: str, data: bytes) -> None:
         topic = path.removeprefix(f"{FLEET_ROOT}/records/")
         if "/" not in topic:
-            self.records.append(_Written(at, agreement.read_record(topic, data)))
+            self.records.append(agreement.read_record(topic, data))
 
     def _judge_epochs(self) -> None:
         """An epoch of the fleet has one proposal, and that one end."""
         tokens, ends = {}, defaultdict(set)
-        for record in (each.record for each in self.records):
+        for record in self.records:
             self.check("epochs")
             if tokens.setdefault(record.epoch, record.token) != record.token:
                 self.broken("epochs", f"epoch {record.epoch} is both {tokens[record.epoch]} and {record.token}")
--- a/driftshed/day/drawn.py
+++ b/driftshed/day/drawn.py
@@ -63,12 +63,25 @@
     script: says.Script, played: Played, play: Callable[[says.Script], Played], fails: Callable[[Played], bool]
 ) -> tuple[says.Script, Played]:
     """Leaves out one trouble after the other for as long as the day still `fails`."""
+
+    def still(troubles: list) -> bool:
+        nonlocal played
+        other = play(replace(script, troubles=troubles))
+        if fails(other):
+            played = other
+        return played is other
+
+    return replace(script, troubles=fewest(script.troubles, still)), played
+
+
+def fewest(items: list, fails: Callable[[list], bool], told: Callable[[list], object] = lambda items: None) -> list:
+    """Those without which it does not fail: left out one by one, until none can be spared."""
     again = True
     while again:
         again = False
-        for k in range(len(script.troubles) - 1, -1, -1):
-            less = replace(script, troubles=script.troubles[:k] + script.troubles[k + 1 :])
-            other = play(less)
-            if fails(other):
-                script, played, again = less, other, True
-    return script, played
+        for k in range(len(items) - 1, -1, -1):
+            less = items[:k] + items[k + 1 :]
+            if fails(less):
+                items, again = less, True
+                told(items)
+    return items
--- a/driftshed/day/judge.py
+++ b/driftshed/day/judge.py
@@ -22,6 +22,7 @@
 from driftshed.day.script import Apart, Cut, Kill, Pause, Script
 from driftshed.day.stage import Cast, owners
 from driftshed.day.traffic import Exchange, read_traffic, said_by_store
+from driftshed.day.zones import judge_zones
 from driftshed.roster import jute
 from driftshed.roster.nodes import Said
 from driftshed.standins.emulator import Machine
@@ -176,7 +177,7 @@
         owners = {self.case.owner(each.asked) for each in (*self.control, *self.roster, *self.talks)}
         self.listed: dict[int, dict[str, list[Stretch]]] = {owner: self._read_listed(owner) for owner in owners}
 
-    def _heard_at(self, owner: int, at: float) -> float:
+    def heard_at(self, owner: int, at: float) -> float:
         """When a supervisor could know what came to it at this time: one that stood still knew it later."""
         return max([at, *(till for by, since, till in self.case.pauses if by == owner and since <= at < till)])
 
@@ -225,7 +226,7 @@
             if self.case.owner(talk.asked) != owner:
                 continue
             for at, request, result in said_by_store(talk):
-                at, path = self._heard_at(owner, at), getattr(request, "path", "")
+                at, path = self.heard_at(owner, at), getattr(request, "path", "")
                 if path != root and not path.startswith(f"{root}/"):
                     continue
                 if isinstance(request, jute.Event):
@@ -277,7 +278,7 @@
         for rows in self.sent.values():
             rows.sort(key=lambda row: row[0])
 
-    def _joined_at(self, proxy: int, at: float) -> Stretch | None:
+    def joined_at(self, proxy: int, at: float) -> Stretch | None:
         return next((each for each in self.joined[proxy] if each.since <= at < each.till), None)
 
     # ---- the rules --------------------------------------------------------------------------------------------
@@ -425,7 +426,7 @@
 
     def _knows(self, proxy: int, at: float, all_told: dict[int, float]) -> bool:
         """Whether what a proxy sends now is its supervisor's doing; `all_told`: when each was told of the start."""
-        joined = self._joined_at(proxy, at)
+        joined = self.joined_at(proxy, at)
         told = all_told.get(joined.what, NEVER) if joined is not None else NEVER
         if told == NEVER:
             return False
@@ -525,7 +526,5 @@
     if len(names) > 1:
         judge_accord(verdict, kinds, owner)
     if script.fleet.leave_zones:
-        from driftshed.day.zones import judge_zones  # built on the judge
-
         judge_zones(found)
     return verdict
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -485,18 +485,19 @@
         return [(each, self.between[who, each]) for each in ("store", "proxies") if side in (each, "both")]
 
     def _begin_apart(self, trouble: says.Apart) -> None:
+        def cut(step: int) -> None:
+            for side, between in self._sides(trouble.who, trouble.side):
+                said, told = (FORTH, BACK) if side == "store" else (BACK, FORTH)
+                for way, name in ((said, "said"), (told, "told")):
+                    if trouble.way in ("both", name):
+                        between.cut(way, step)
+
         self._note("cut off", **self._which(trouble.who), side=trouble.side, way=trouble.way)
-        for side, between in self._sides(trouble.who, trouble.side):
-            said, told = (FORTH, BACK) if side == "store" else (BACK, FORTH)
-            for way, name in ((said, "said"), (told, "told")):
-                between.cut(way, +1 if trouble.way in ("both", name) else 0)
+        cut(+1)
 
         def over() -> None:
             self._note("reached again", **self._which(trouble.who))
-            for side, between in self._sides(trouble.who, trouble.side):
-                said, told = (FORTH, BACK) if side == "store" else (BACK, FORTH)
-                for way, name in ((said, "said"), (told, "told")):
-                    between.cut(way, -1 if trouble.way in ("both", name) else 0)
+            cut(-1)
 
         self.loop.after(trouble.lasts, over)
 
--- a/driftshed/day/zones.py
+++ b/driftshed/day/zones.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 from math import ceil
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from driftshed.coordination import agreement
 from driftshed.day.accord import FLEET_ROOT
-from driftshed.day.judge import Judge
 from driftshed.day.recorder import STORED
 from driftshed.day.traffic import said_by_store
 from driftshed.evacuation.part import TOPIC
 from driftshed.evacuation.stages import Stage
 from driftshed.roster import jute
 
+if TYPE_CHECKING:
+    from driftshed.day.judge import Judge
+
 RULE = "zones"
 ALLOWED = 0.5  # seconds beyond the grace: a turn, the channel, the way to a proxy
 
@@ -49,7 +52,7 @@
         verdict.left.setdefault(zone, {})[owner] = [(round(at, 2), share) for at, share in rows]
         for k, (at, share) in enumerate(rows):
             till = rows[k + 1][0] if k + 1 < len(rows) else judge.end
-            since = judge._heard_at(owner, at) + facts.drain_grace + ALLOWED
+            since = judge.heard_at(owner, at) + facts.drain_grace + ALLOWED
             if share <= 0 or since >= till:
                 continue
             verdict.check(RULE)
@@ -59,7 +62,7 @@
             met = set()
             for name in own:
                 for sent_at, proxy, _ in judge.sent[name]:
-                    joined = judge._joined_at(proxy, sent_at)
+                    joined = judge.joined_at(proxy, sent_at)
                     if joined is None or joined.what != owner or not since <= sent_at < till:
                         continue
                     if sent_at >= joined.since + facts.drain_grace + ALLOWED:
--- a/driftshed/evacuation/overlay.py
+++ b/driftshed/evacuation/overlay.py
@@ -39,7 +39,7 @@
         return out if len(ready) - len(out) >= FLOOR else set()
 
     def hear(self, listing: face.Listing, now: float) -> face.Listing:
-        """A piece of news of the list, as the module is to hear it. Who is out may change with it: then the whole."""
+        """A piece of news of the list, as the module is to hear it, with those whose being left changes by it."""
         if listing.kind in (face.FULL, face.CACHED):
             self.entries = {}
         for entry in listing.entries:
@@ -52,7 +52,7 @@
                 self.entries[entry.server] = entry
         before = self.out
         self._settle(now)
-        changed = {*listing_names(listing), *(before ^ self.out)}
+        changed = {entry.server for entry in listing.entries} | (before ^ self.out)
         gone = [entry for entry in listing.entries if entry.state == face.GONE]
         if listing.kind == face.DELTA:
             shown = [self._shown(self.entries[name]) for name in changed if name in self.entries]
@@ -82,7 +82,3 @@
         if back is not None and entry.state == face.READY and (entry.started is None or entry.started < back):
             return entry._replace(started=back)  # it stood idle: cold, as one that has just started
         return entry
-
-
-def listing_names(listing: face.Listing) -> list[face.Server]:
-    return [entry.server for entry in listing.entries]
--- a/driftshed/evacuation/part.py
+++ b/driftshed/evacuation/part.py
@@ -50,7 +50,7 @@
 
 
 class Evacuation:
-    """`alone(zone)`: called when what stands on a zone changed here. Off unless it is made."""
+    """Takes its place between an agent, a service and the instance's list when it is made; off without."""
 
     def __init__(
         self, loop: Timers, service: Service, agent: Agent, limits: Limits,
@@ -62,7 +62,7 @@
         self.overlay, self.shares = Overlay(len(self.zones)), [0.0] * len(self.zones)
         self.look: dict = {}
         self.wanted: dict[str, tuple[Stage, float]] = {}  # by zone: what we would propose, since when
-        self.open: dict[str, object] = {}
+        self.open: set[str] = set()  # zones on which a proposal of ours is under way, or was of late
         self.stood: dict[int, tuple[int, float]] = {}  # by zone: the epoch that stands, and since when
         self.began = loop.clock()
         instance = service.instance
@@ -91,11 +91,11 @@
 
     def stage(self, zone: str) -> Stage | None:
         """What stands on a zone, as it was last read."""
-        topic = self.agent.topics.get(TOPIC + zone)
-        standing = topic.record.standing if topic is not None and topic.record is not None else None
-        return self._stage_of(standing, topic) if standing is not None else None
+        return self._stage_of(self.agent.standing(TOPIC + zone))
 
-    def _stage_of(self, standing: agreement.Standing, topic) -> Stage | None:
+    def _stage_of(self, standing: agreement.Standing | None) -> Stage | None:
+        if standing is None:
+            return None
         try:
             stage = msgspec.convert(standing.body, Stage)
         except msgspec.ValidationError as error:
@@ -116,8 +116,9 @@
         since = next((at for epoch, at in self.stood.values() if epoch == standing.epoch), self.loop.clock())
         return self.loop.clock() > since + standing.binds_for
 
-    def sight(self, zone: int) -> Sight:
-        now, name = self.loop.clock(), self.zones[zone]
+    def _fleet(self) -> tuple[list[int], list[float], list[float]]:
+        """By zone: servers that are listed ready, their weight as warm as they are, and the work that is usual."""
+        now = self.loop.clock()
         servers, capacity = [0] * len(self.zones), [0.0] * len(self.zones)
         for entry in self.overlay.entries.values():
             if entry.state == face.READY:
@@ -128,10 +129,15 @@
         scale = self.facts.proxies / max(1, len(self.service.polls))
         busy = [scale * sum(held for (_, there), held in self.evidence.busy.items() if there == k)
                 for k in range(len(self.zones))]  # fmt: skip
+        return servers, capacity, busy
+
+    def sight(self, zone: int, fleet: tuple[list[int], list[float], list[float]] | None = None) -> Sight:
+        """What is seen of a zone now; `fleet`: what `_fleet` says, where more than one zone is looked at."""
+        now, name = self.loop.clock(), self.zones[zone]
+        servers, capacity, busy = fleet or self._fleet()
         takers = [met for (_, there), met in self.look.items() if there != zone and not self.shares[there]]
         strained = any(met.ill or met.slow >= STRAIN for met in takers)
-        topic = self.agent.topics.get(TOPIC + name)
-        standing = topic.record.standing if topic is not None and topic.record is not None else None
+        topic, standing = self.agent.topics.get(TOPIC + name), self.agent.standing(TOPIC + name)
         epoch = standing.epoch if standing is not None else 0
         if self.stood.get(zone, (-1, 0.0))[0] != epoch:  # proposals come and go meanwhile
             self.stood[zone] = epoch, now
@@ -158,8 +164,7 @@
     def _say_inside(self) -> None:
         """Guards against leaving a zone that is well inside, where each supervisor serves the proxies of some zones
         alone. Said only while a zone is in question: at rest nothing is written."""
-        asked = any(topic.record is not None and topic.record.state == "open" and topic.name.startswith(TOPIC)
-                    for topic in self.agent.topics.values())  # fmt: skip
+        asked = any(self.agent.is_open(TOPIC + zone) for zone in self.zones)
         inside = {}
         if asked or any(met.ill for met in self.look.values()):
             inside = {zone: "ill" if self.look[n, n].ill else "well" for n, zone in enumerate(self.zones)
@@ -177,8 +182,9 @@
             return
         self._say_inside()
         self.agent.look()
+        fleet = self._fleet()
         for number, zone in enumerate(self.zones):
-            self._propose(number, zone, now)
+            self._propose(zone, self.sight(number, fleet), now)
 
     def _apply(self) -> None:
         """Lays what stands over the list. While no lease holds, the last that was acted on goes on: the stage holds."""
@@ -195,11 +201,9 @@
 
     # ---- proposals and words ----------------------------------------------------------------------------------
 
-    def _propose(self, number: int, zone: str, now: float) -> None:
-        stage = self.stage(zone)
-        following = next_stage(zone, stage, self.sight(number), self.limits)
-        topic = self.agent.topics.get(TOPIC + zone)
-        if following is None or (topic is not None and topic.record is not None and topic.record.state == "open"):
+    def _propose(self, zone: str, sight: Sight, now: float) -> None:
+        following = next_stage(zone, self.stage(zone), sight, self.limits)
+        if following is None or self.agent.is_open(TOPIC + zone):
             self.wanted.pop(zone, None)
             return
         known = self.wanted.get(zone)
@@ -211,16 +215,16 @@
             return
         self._put(zone, following)
 
-    def _put(self, zone: str, stage: Stage, binds_for: float | None = None) -> object:
+    def _put(self, zone: str, stage: Stage, binds_for: float | None = None) -> None:
         expected = self.agent.roll.expected
 
         def done(proposal) -> None:
             self.log("stage", zone=zone, phase=stage.phase, share=stage.share, state=proposal.state, why=proposal.why)
             # What was objected to is not asked again at once.
-            self.loop.after(self.limits.pace, lambda: self.open.pop(zone, None))
+            self.loop.after(self.limits.pace, lambda: self.open.discard(zone))
 
-        self.open[zone] = stage
-        return self.agent.propose(
+        self.open.add(zone)
+        self.agent.propose(
             TOPIC + zone, msgspec.to_builtins(stage), expected, len(expected) // 2 + 1, PATIENCE * self.limits.pace,
             done, binds_for,
         )  # fmt: skip
@@ -232,10 +236,7 @@
             return False, f"no stage: {error}"
         if stage.zone not in self.zones or record.topic != TOPIC + stage.zone:
             return False, f"zone {stage.zone!r} is not known here"
-        old = None
-        if record.standing is not None:
-            old = self._stage_of(record.standing, self.agent.topics[record.topic])
-        return word(old, stage, self.sight(self.zones.index(stage.zone)), self.limits)
+        return word(self._stage_of(record.standing), stage, self.sight(self.zones.index(stage.zone)), self.limits)
 
     # ---- by hand ----------------------------------------------------------------------------------------------
 
@@ -282,9 +283,9 @@
 
     def view(self) -> list[dict]:
         """What `driftshed zone status` shows."""
-        rows = []
+        rows, fleet = [], self._fleet()
         for number, zone in enumerate(self.zones):
-            sight, stage = self.sight(number), self.stage(zone)
+            sight, stage = self.sight(number, fleet), self.stage(zone)
             rows.append({
                 "zone": zone, "share": self.shares[number], "stage": stage, "verdict": sight.verdict.value,
                 "lasted": round(min(sight.lasted, 1e6), 1), "bears": round(sight.bears, 3), "strained": sight.strained,
@@ -305,6 +306,3 @@
         if not 0 < given[name] <= (1.0 if name in ("step", "trickle", "ceiling") else BY_HAND_MOST):
             raise ValueError(f"{name}={value} is out of its range")
     return Limits(**given)
-
-
-__all__ = ["Evacuation", "Ordered", "Verdict", "read_limits"]
--- a/driftshed/lab/hunt.py
+++ b/driftshed/lab/hunt.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from driftshed.day.drawn import fewest
 from driftshed.lab.experiment import Failed, run_job
 from driftshed.lab.run import Outcome
 from driftshed.lab.scenario import (
@@ -72,15 +73,8 @@
     day: Scenario, fails: Callable[[Scenario], bool], told: Callable[[str], object] = lambda text: None
 ) -> Scenario:
     """The fewest troubles and the shortest day that still `fails`."""
-    best = day
-    again = True
-    while again and best.troubles:  # one by one, until none can be spared
-        again = False
-        for k in range(len(best.troubles) - 1, -1, -1):
-            less = _with(best, troubles=best.troubles[:k] + best.troubles[k + 1 :])
-            if fails(less):
-                best, again = less, True
-                told(f"{len(best.troubles)} troubles")
+    best = _with(day, troubles=fewest(day.troubles, lambda less: fails(_with(day, troubles=less)),
+                                      lambda left: told(f"{len(left)} troubles")))  # fmt: skip
     low, high = max(SHORTEST, max((t.at for t in best.troubles), default=0.0) + 0.5), best.seconds
     while high - low > 1.0:
         middle = round((low + high) / 2, 1)
--- a/driftshed/lab/world.py
+++ b/driftshed/lab/world.py
@@ -379,8 +379,12 @@
         self._band(trouble.lasts, "store still")
         self.ground.pause_store(trouble.lasts)
 
+    @staticmethod
+    def _supervisor(which: int) -> str:
+        return f"supervisor {which}" if which else "supervisor"
+
     def _begin_kill(self, trouble: says.Kill) -> None:
-        self._band(trouble.down, f"supervisor {trouble.which or ''} killed".replace("  ", " "))
+        self._band(trouble.down, f"{self._supervisor(trouble.which)} killed")
         self.kills.append((trouble.which, self.now))
         self.ground.kill_supervisor(trouble.which)
         start = lambda: self.ground.start_supervisor(self.random.getrandbits(32), trouble.which)  # noqa: E731
@@ -388,7 +392,7 @@
 
     def _begin_pause(self, trouble: says.Pause) -> None:
         if trouble.who == "supervisor":
-            self._band(trouble.lasts, f"supervisor {trouble.which or ''} still".replace("  ", " "))
+            self._band(trouble.lasts, f"{self._supervisor(trouble.which)} still")
             if self.scenario.fleet.store:
                 self.pauses.append((trouble.which, self.now, self.now + trouble.lasts))
             self.ground.pause_supervisor(trouble.lasts, trouble.which)
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -165,6 +165,8 @@
 
     def _learn(self, told: list[str]) -> None:
         """Whom else to dial, as the one that answers says; the one that it is on stays the first."""
+        if not told:
+            return
         here, others = self.addresses[self.at], []
         for text in told[:MOST_SUPERVISORS]:
             try:
@@ -175,8 +177,7 @@
             others.append((host, int(port)))
         others = [each for each in dict.fromkeys([*others, *self.given]) if each != here]
         self.random.shuffle(others)  # Guards against all that lose one supervisor dialling the same next one.
-        if told:
-            self.addresses, self.at = [here, *others], 0
+        self.addresses, self.at = [here, *others], 0
 
     def _poll(self) -> None:
         version = self.tables.version
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -166,8 +166,7 @@
         if given != b"application/json":
             raise Refused(415, "content-type must be application/json")
         try:
-            return msgspec.json.decode(request.body, type=kind) if kind not in DECODERS else DECODERS[kind].decode(
-                request.body)  # fmt: skip
+            return (DECODERS.get(kind) or msgspec.json.Decoder(kind)).decode(request.body)
         except msgspec.DecodeError as error:  # ValidationError is one
             raise Refused(400, str(error)) from None
 
