An announcer whose session ends while it drains says its word again, and leaves

Checked: announce.py, _ask drops every answer EXPIRED, and say() rested on that answer alone, so a session that lapsed while the store was away (a time-out of 1 s; dialling again waits up to 1.6 s by then) ended the word with it; the announcer joined anew as draining and nobody went on. Ruled out: the store (a restart gives each session its whole time-out), the signal (the word was given while it was listed). Now the last word is kept until the store has it, and said again when the announcer is listed anew; a node that somebody deleted is made again. Two tests, both failing without it.

--- a/driftshed/roster/announce.py
+++ b/driftshed/roster/announce.py
@@ -52,6 +52,7 @@
         self.random, self.on_standing, self.dial = Random(f"announce {seed}"), on_standing, dial
         self.standing = Standing.JOINING
         self.epoch = 0  # none taken yet
+        self.unsaid: Callable[[], object] | None = None  # whom to tell once the store has the last word
         self.counter = f"{root}-epochs/{self.name}"
         self._begin()
 
@@ -81,6 +82,8 @@
         if standing is not self.standing:
             self.standing = standing
             self.on_standing(standing)
+            if standing is Standing.LISTED:
+                self._say()
 
     def _ask(self, request: object, then: Callable[[int, object], object]) -> None:
         client = self.client
@@ -183,13 +186,29 @@
 
     def say(self, state: str, then: Callable[[], object] = lambda: None) -> None:
         """Says "draining", "gone" or "ready"; `then()` once the store has it. A word binds at once."""
-        self.node = self.node._replace(state=state)
+        self.node, self.unsaid = self.node._replace(state=state), then
+        self._say()
+
+    def _say(self) -> None:
+        """Writes the last word, if the store is not known to have it.
+
+        Guards against a word that ends with its session: whoever said it would wait for ever. It is said again once
+        this start is listed anew."""
+        then = self.unsaid
+        if then is None or self.standing is not Standing.LISTED:
+            return
 
         def said(error: int, result: object) -> None:
+            if self.unsaid is not then:
+                return  # a later word is under way
             if error == OK:
+                self.unsaid = None
                 then()
+            elif error == NO_NODE:  # somebody took it away
+                self._stand(Standing.JOINING)
+                self._join()
             else:
-                self._later(lambda: self.say(state, then))
+                self._later(self._say)
 
         self._ask(SetData(self.path, self.data()), said)
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -982,6 +982,25 @@
     assert states[-2:] == ["no connection", "on"]
 
 
+@pytest.mark.parametrize("lost", ["session", "node"])
+def test_a_server_drains_and_leaves_though_its_session_or_node_is_lost_meanwhile(fleet, lost):
+    one, gone = fleet.announce(1), []
+    fleet.announce(2)
+    fleet.listed(1, 2)
+    if lost == "session":
+        one.client.stream.pause(True)
+        fleet.server.expire(one.client.session.session)
+    else:
+        client = fleet.client(5.0)
+        assert fleet.ask(client, Delete(one.path))[0] == OK
+    one.say("draining", lambda: one.leave(lambda: gone.append(1)))
+    if lost == "session":
+        one.client.stream.pause(False)
+    fleet.until(lambda: gone)
+    fleet.listed(2)
+    assert one.standing is Standing.LEFT
+
+
 def test_answers_that_are_late_or_held_back_change_nothing(fleet):
     for k in range(1, 4):
         fleet.announce(k, timeout=5.0)
