Regions are left as one, proposals are weighed in one order, and recorded stages are decided again

Regions (--regions) are places beside zones: one record, its zones back in the order that it states (evacuation/places.py). A word on a proposal counts what is proposed under a lower epoch as settled: seen by reading, two places could be left at once, each as if the other were not (part.py, sight went by what stood alone). driftshed zone alone lets a part in again at one supervisor while the store is away. Decisions go into the trace with what they rest on, and driftshed trace replay takes them again.

--- a/driftshed/cli.py
+++ b/driftshed/cli.py
@@ -7,11 +7,12 @@
 from driftshed.coordination.command import fleet
 from driftshed.day.command import day
 from driftshed.evacuation.command import zone
+from driftshed.evacuation.retrace import decided_again as zone_decided_again
 from driftshed.lab.command import lab
 from driftshed.proxy.command import proxy
 from driftshed.roster.command import announce, roster
 from driftshed.supervisor.command import supervise
-from driftshed.trace.command import trace
+from driftshed.trace.command import DECIDERS, trace
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -30,5 +31,7 @@
 main.add_command(fleet)
 main.add_command(zone)
 
+DECIDERS |= {"zone": zone_decided_again, "region": zone_decided_again}
+
 if __name__ == "__main__":
     main()
--- a/driftshed/day/judge.py
+++ b/driftshed/day/judge.py
@@ -526,5 +526,5 @@
     if len(names) > 1:
         judge_accord(verdict, kinds, owner)
     if script.fleet.leave_zones:
-        judge_zones(found)
+        judge_zones(found, script.fleet.regions)
     return verdict
--- a/driftshed/day/script.py
+++ b/driftshed/day/script.py
@@ -12,6 +12,7 @@
 from msgspec import Meta, Struct
 
 from driftshed import interface as face
+from driftshed.evacuation.places import read_regions
 from driftshed.standins.emulator import Machine
 from driftshed.supervisor.flags import facts_of
 
@@ -42,6 +43,7 @@
     clocks_off: At = 0.0  # seconds: by so much, drawn, the wall clocks of supervisors are off, either way
     leave_zones: bool = False  # zones that fail are left as a fleet
     zone_limits: str = ""  # as `--zone-limits`
+    regions: str = ""  # as `--regions`
 
 
 class Traffic(Struct, forbid_unknown_fields=True):
@@ -259,6 +261,10 @@
     few = script.fleet.supervisors == 1
     if few and script.fleet.leave_zones:
         raise BadScript(f"{name}: fleet.leave_zones: zones are left as a fleet, of more than one supervisor")
+    try:
+        read_regions(script.fleet.regions, facts.zones)
+    except ValueError as error:
+        raise BadScript(f"{name}: fleet.regions: {error}") from None
     if script.drawn and (few or script.drawn.till <= script.drawn.since):
         raise BadScript(f"{name}: drawn: more than one supervisor and a span of time are wanted")
     if not few and not script.fleet.store:
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -255,7 +255,7 @@
                 f"{host}.{CONTROLS + k}:{CONTROL_PORT}", "--supervisors", str(len(self.names)),
             ]  # fmt: skip
             if fleet.leave_zones:
-                supervisor.more += ["--leave-zones", "--zone-limits", fleet.zone_limits]
+                supervisor.more += ["--leave-zones", "--zone-limits", fleet.zone_limits, "--regions", fleet.regions]
             off = fleet.clocks_off * self.random.uniform(-1, 1)
             taken_out = ["--take-out", self.tamper] if self.tamper in ("leases", "epochs", "zones") else []
             supervisor.program = ("driftshed.day.rigged", "--orders-to", f"{host}.3:{ORDER_PORT}", "--clock-off",
--- a/driftshed/day/zones.py
+++ b/driftshed/day/zones.py
@@ -11,7 +11,7 @@
 from driftshed.day.accord import FLEET_ROOT
 from driftshed.day.recorder import STORED
 from driftshed.day.traffic import said_by_store
-from driftshed.evacuation.part import TOPIC
+from driftshed.evacuation.places import places, read_regions
 from driftshed.evacuation.stages import Stage
 from driftshed.roster import jute
 
@@ -22,32 +22,38 @@
 ALLOWED = 0.5  # seconds beyond the grace: a turn, the channel, the way to a proxy
 
 
-def stages_read(judge: Judge) -> dict[tuple[int, str], list[tuple[float, float]]]:
-    """By supervisor and zone: when it first read that a share stands, and the share."""
+def stages_read(judge: Judge, regions: str) -> dict[tuple[int, str], list[tuple[float, float]]]:
+    """By supervisor and zone: when it first read that a share of the zone is left, by itself or with its region."""
     rows: dict[tuple[int, str], list[tuple[float, float]]] = {}
-    epochs: dict[tuple[int, str], int] = {}
-    folder = f"{FLEET_ROOT}/records/{TOPIC}"
+    stands: dict[tuple[int, str], tuple[int, dict[int, float]]] = {}
+    zones, folder = judge.facts.zones, f"{FLEET_ROOT}/records/"
+    known = {place.topic: place for place in places(zones, read_regions(regions, zones))}
     for talk in sorted(judge.case.kinds.get(STORED, []), key=lambda talk: talk.rows[0][0] if talk.rows else 0.0):
         owner = judge.case.owner(talk.asked)
         for at, request, result in said_by_store(talk):
-            if not isinstance(request, jute.GetData) or not request.path.startswith(folder):
+            topic = request.path.removeprefix(folder) if isinstance(request, jute.GetData) else ""
+            if topic not in known:
                 continue
-            zone = request.path.removeprefix(folder)
-            if "/" in zone:
+            standing = agreement.read_record(topic, result[0]).standing
+            if standing is None or standing.epoch <= stands.get((owner, topic), (0, {}))[0]:
                 continue
-            standing = agreement.read_record(TOPIC + zone, result[0]).standing
-            if standing is not None and standing.epoch > epochs.get((owner, zone), 0):
-                epochs[owner, zone] = standing.epoch
-                rows.setdefault((owner, zone), []).append((at, msgspec.convert(standing.body, Stage).share))
+            stage = msgspec.convert(standing.body, Stage)
+            left = known[topic].shares(stage.share, tuple(map(zones.index, stage.order)))
+            stands[owner, topic] = standing.epoch, left
+            for zone in left:
+                share = max(each.get(zone, 0.0) for (who, _), (_, each) in stands.items() if who == owner)
+                own = rows.setdefault((owner, zones[zone]), [])
+                if not own or own[-1][1] != share:
+                    own.append((at, share))
     return rows
 
 
-def judge_zones(judge: Judge) -> None:
+def judge_zones(judge: Judge, regions: str = "") -> None:
     """Adds the rule to the judge's verdict: once a supervisor has read that a share of a zone is left, and the grace is
     over, its proxies together send to no more of the zone's servers than what is kept."""
     verdict, facts, cast = judge.verdict, judge.facts, judge.cast
     verdict.rules[RULE] = {"checked": 0, "broken": 0}
-    for (owner, zone), rows in stages_read(judge).items():
+    for (owner, zone), rows in stages_read(judge, regions).items():
         number = facts.zones.index(zone)
         verdict.left.setdefault(zone, {})[owner] = [(round(at, 2), share) for at, share in rows]
         for k, (at, share) in enumerate(rows):
--- a/driftshed/evacuation/command.py
+++ b/driftshed/evacuation/command.py
@@ -71,6 +71,7 @@
         click.echo(f"  {name}: {row['ready']} servers carry, {row['left']} are left")
 
 
+share = click.option("--share", type=click.FloatRange(0, 1), default=1.0, help="of its servers that are left")
 dry = click.option("--dry-run", "dry", is_flag=True, help="say what it would be, and do nothing")
 lasts = click.option("--for", "lasts", type=click.FloatRange(1, 86400), default=3600.0, help="seconds that it binds")
 
@@ -80,9 +81,9 @@
 @supervisor
 @dry
 @lasts
-@click.option("--share", type=click.FloatRange(0, 1), default=1.0, help="of the zone's servers")
+@share
 def leave(name: str, supervisor: str, dry: bool, lasts: float, share: float) -> None:
-    """Leaves a zone by hand."""
+    """Leaves a zone or region by hand."""
     _order("leave", name, supervisor, dry, lasts=lasts, share=share)
 
 
@@ -101,5 +102,15 @@
 @supervisor
 @dry
 def back(name: str, supervisor: str, dry: bool) -> None:
-    """Begins to return to a zone, in steps."""
+    """Begins to return to a zone or region, in steps."""
     _order("return", name, supervisor, dry)
+
+
+@zone.command()
+@click.argument("name")
+@supervisor
+@dry
+@share
+def alone(name: str, supervisor: str, dry: bool, share: float) -> None:
+    """Lets a part of what is left in again at this supervisor alone, while its store is away; say it to each."""
+    _order("alone", name, supervisor, dry, share=share)
--- a/driftshed/evacuation/evidence.py
+++ b/driftshed/evacuation/evidence.py
@@ -104,30 +104,45 @@
     return Verdict.ILL
 
 
-def dead(zone: int, look: dict[tuple[int, int], Met]) -> bool:
-    """Whether hardly a try of anybody's succeeds there."""
-    seen = [met for (_, there), met in look.items() if there == zone]
-    return bool(seen) and all(met.erred >= DEAD for met in seen)
+def of_place(zones: tuple[int, ...], look: dict[tuple[int, int], Met], left: bool = False) -> Verdict:
+    """What a look says of zones together: each beside those that are not of them. While none of it is `left`, all of
+    them have to be ill; of one that is left in part, those that are tried speak for it."""
+    if len(zones) == 1:
+        return verdict(zones[0], look)
+    said = [verdict(zone, {pair: met for pair, met in look.items() if pair[1] == zone or pair[1] not in zones})
+            for zone in zones]  # fmt: skip
+    if all(each is Verdict.ILL for each in said) or (left and Verdict.ILL in said):
+        return Verdict.ILL
+    for what in (Verdict.CUT, Verdict.WELL, Verdict.ALIKE):
+        if what in said:
+            return what
+    return Verdict.UNKNOWN
+
+
+def dead(zones: tuple[int, ...], look: dict[tuple[int, int], Met]) -> bool:
+    """Whether hardly a try of anybody's succeeds there, in none of the zones."""
+    seen = {zone: [met.erred >= DEAD for (_, there), met in look.items() if there == zone] for zone in zones}
+    return all(found and all(found) for found in seen.values())
 
 
 class Lasting:
-    """Since when each zone's verdict is what it is."""
+    """Since when each place's verdict is what it is."""
 
-    def __init__(self, zones: int) -> None:
-        self.now = [Verdict.UNKNOWN] * zones
-        self.since = [float("-inf")] * zones
-        self.fresh = [False] * zones  # whether anybody tried it of late
+    def __init__(self, places: int) -> None:
+        self.now = [Verdict.UNKNOWN] * places
+        self.since = [float("-inf")] * places
+        self.fresh = [False] * places  # whether anybody tried it of late
 
-    def take(self, now: float, look: dict[tuple[int, int], Met]) -> None:
-        for zone, before in enumerate(self.now):
-            said, fresh = verdict(zone, look), self.fresh[zone]
-            self.fresh[zone] = said is not Verdict.UNKNOWN
+    def take(self, now: float, verdicts: list[Verdict]) -> None:
+        for place, said in enumerate(verdicts):
+            before, fresh = self.now[place], self.fresh[place]
+            self.fresh[place] = said is not Verdict.UNKNOWN
             # Guards against a zone that is tried no more because it is ill: silence ends no illness by itself.
             if said is Verdict.UNKNOWN and before is Verdict.ILL:
                 continue
             if said is not before or (said is Verdict.ILL and not fresh):
-                self.now[zone], self.since[zone] = said, now
+                self.now[place], self.since[place] = said, now
 
-    def lasted(self, zone: int, what: Verdict, now: float) -> float:
-        """Seconds for which a zone's verdict has been this one; 0.0 where it is another."""
-        return now - self.since[zone] if self.now[zone] is what else 0.0
+    def lasted(self, place: int, what: Verdict, now: float) -> float:
+        """Seconds for which a place's verdict has been this one; 0.0 where it is another."""
+        return now - self.since[place] if self.now[place] is what else 0.0
--- a/driftshed/evacuation/part.py
+++ b/driftshed/evacuation/part.py
@@ -12,8 +12,9 @@
 from driftshed.coordination import agreement
 from driftshed.coordination.agent import Agent
 from driftshed.core.hub import Refused
-from driftshed.evacuation.evidence import Evidence, Lasting, Verdict, dead
+from driftshed.evacuation.evidence import Evidence, Lasting, Verdict, dead, of_place
 from driftshed.evacuation.overlay import Overlay
+from driftshed.evacuation.places import Place, places
 from driftshed.evacuation.stages import (
     SMALL,
     BadStage,
@@ -29,20 +30,20 @@
 from driftshed.net.loop import Timers
 from driftshed.supervisor.service import Service
 
-TOPIC = "zone."
 TOLD_WITHIN = 1.5  # seconds from a proposal until those who serve the proxies inside have said what they see
 PATIENCE = 1.5  # of the pace: how long a proposal waits for words
 STAGGER = 0.5  # of the pace: how much later each next supervisor proposes what the first one has not
 STRAIN = 2.0  # times the usual latency in a zone that takes over
 FIRST_WAIT = 2.0  # of the session's time-out: how long a start waits for what stands before it takes proxies
 BY_HAND_MOST = 86400.0  # seconds
+MOST = 1e9  # seconds: as good as for ever, and can be written down
 
 
 class Ordered(Struct, forbid_unknown_fields=True):
-    """What an operator orders of a zone; `lasts`: seconds, after which evidence decides again."""
+    """What an operator orders of a zone or region; `lasts`: seconds, after which evidence decides again."""
 
     zone: Annotated[str, Meta(max_length=64)]
-    what: str  # leave, hold or return
+    what: str  # leave, hold, return or alone
     by: Annotated[str, Meta(min_length=1, max_length=64)]
     share: Annotated[float, Meta(ge=0, le=1)] = 1.0
     lasts: Annotated[float, Meta(gt=0, le=BY_HAND_MOST)] = 3600.0
@@ -50,26 +51,32 @@
 
 
 class Evacuation:
-    """Takes its place between an agent, a service and the instance's list when it is made; off without."""
+    """Takes its place between an agent, a service and the instance's list when it is made; off without. `regions`:
+    zones by region (`places.read_regions`). `on_decided(now, what, topic, given, said)` hears each decision with all
+    that it rests on."""
 
     def __init__(
         self, loop: Timers, service: Service, agent: Agent, limits: Limits,
-        log: Callable[..., object] = lambda event, **fields: None,
+        log: Callable[..., object] = lambda event, **fields: None, regions: dict[str, tuple[str, ...]] | None = None,
     ) -> None:  # fmt: skip
         self.loop, self.service, self.agent, self.limits, self.log = loop, service, agent, limits, log
         self.facts, self.zones = service.instance.facts, service.instance.facts.zones
-        self.evidence, self.lasting = Evidence(self.facts), Lasting(len(self.zones))
+        self.places = places(self.zones, regions or {})
+        self.by_topic = {place.topic: (number, place) for number, place in enumerate(self.places)}
+        self.evidence, self.lasting = Evidence(self.facts), Lasting(len(self.places))
         self.overlay, self.shares = Overlay(len(self.zones)), [0.0] * len(self.zones)
         self.look: dict = {}
-        self.wanted: dict[str, tuple[Stage, float]] = {}  # by zone: what we would propose, since when
-        self.open: set[str] = set()  # zones on which a proposal of ours is under way, or was of late
-        self.stood: dict[int, tuple[int, float]] = {}  # by zone: the epoch that stands, and since when
+        self.wanted: dict[str, tuple[Stage, float]] = {}  # by topic: what we would propose, since when
+        self.open: set[str] = set()  # topics on which a proposal of ours is under way, or was of late
+        self.stood: dict[str, tuple[int, float]] = {}  # by topic: the epoch that stands, and since when
+        self.alone: dict[str, float] = {}  # by topic: the share that an operator ordered while no lease holds
+        self.on_decided: Callable[..., object] = lambda now, what, topic, given, said: None
         self.began = loop.clock()
         instance = service.instance
         instance.overlay = lambda listing: self.overlay.hear(listing, self.loop.clock())
         instance.on_met = self._met
         before, told = agent.judge, agent.on_record
-        agent.judge = lambda record: self._word(record) if record.topic.startswith(TOPIC) else before(record)
+        agent.judge = lambda record: self._word(record) if record.topic in self.by_topic else before(record)
         agent.on_record = lambda record: (told(record), self._apply())
         service.views["zones"] = self.view
         service.actions["zones"] = (Ordered, self.order)
@@ -89,33 +96,61 @@
 
     # ---- what stands and what is seen -------------------------------------------------------------------------
 
-    def stage(self, zone: str) -> Stage | None:
-        """What stands on a zone, as it was last read."""
-        return self._stage_of(self.agent.standing(TOPIC + zone))
+    def stage(self, place: Place) -> Stage | None:
+        """What stands on a place, as it was last read."""
+        return self._stage_of(place, self.agent.standing(place.topic))
 
-    def _stage_of(self, standing: agreement.Standing | None) -> Stage | None:
+    def _stage_of(self, place: Place, standing: agreement.Standing | None) -> Stage | None:
         if standing is None:
             return None
         try:
-            stage = msgspec.convert(standing.body, Stage)
-        except msgspec.ValidationError as error:
+            stage = read_stage(standing.body, place, self.zones)
+        except BadStage as error:
             self.log("bad_stage", level="warning", why=str(error))
             return None
-        if standing.binds_for is not None and self._over(standing):
+        if standing.binds_for is not None and self.loop.clock() > self._stands_since(place) + standing.binds_for:
             return msgspec.structs.replace(stage, by=None, phase="left", account=f"{stage.by}'s order is over")
         return stage
 
+    def _stands_since(self, place: Place) -> float:
+        """When what stands on a place was first seen here; proposals come and go meanwhile."""
+        standing = self.agent.standing(place.topic)
+        epoch = standing.epoch if standing is not None else 0
+        if self.stood.get(place.topic, (-1, 0.0))[0] != epoch:
+            self.stood[place.topic] = epoch, self.loop.clock()
+        return self.stood[place.topic][1]
+
+    def _numbers(self, names: tuple[str, ...]) -> tuple[int, ...]:
+        return tuple(map(self.zones.index, names))
+
+    def _left(self, before: float = 0, but: Place | None = None) -> list[float]:
+        """By zone: the share that is left by all that stands but on one place, and by what is proposed under an epoch
+        below `before`, as if that were settled.
+
+        Guards against two places left at once, each as if the other were not: the epochs of proposals are one order,
+        and whoever reads one has read those before it."""
+        left = [0.0] * len(self.zones)
+        for place in self.places:
+            stages = [self.stage(place)]
+            topic = self.agent.topics.get(place.topic)
+            record = topic.record if topic is not None else None
+            if record is not None and record.state == "open" and record.epoch < before:
+                try:
+                    stages.append(read_stage(record.body, place, self.zones))
+                except BadStage:
+                    pass  # it will not be settled
+            for stage in stages if place is not but else ():
+                if stage is not None:
+                    for zone, share in place.shares(stage.share, self._numbers(stage.order)).items():
+                        left[zone] = max(left[zone], share)
+        return left
+
     def _warmth(self, entry: face.Entry, now: float) -> float:
         if entry.started is None or now >= entry.started + self.facts.warm_within:
             return 1.0
         cold = self.facts.cold_share
         return cold + (1 - cold) * max(0.0, now - entry.started) / self.facts.warm_within
 
-    def _over(self, standing: agreement.Standing) -> bool:
-        """Whether an order by hand has bound for its time, here by our own clock."""
-        since = next((at for epoch, at in self.stood.values() if epoch == standing.epoch), self.loop.clock())
-        return self.loop.clock() > since + standing.binds_for
-
     def _fleet(self) -> tuple[list[int], list[float], list[float]]:
         """By zone: servers that are listed ready, their weight as warm as they are, and the work that is usual."""
         now = self.loop.clock()
@@ -131,28 +166,33 @@
                 for k in range(len(self.zones))]  # fmt: skip
         return servers, capacity, busy
 
-    def sight(self, zone: int, fleet: tuple[list[int], list[float], list[float]] | None = None) -> Sight:
-        """What is seen of a zone now; `fleet`: what `_fleet` says, where more than one zone is looked at."""
-        now, name = self.loop.clock(), self.zones[zone]
+    def _order(self, place: Place, capacity: list[float]) -> tuple[str, ...]:
+        """In which order the zones of a region are to come back: those that bear most first."""
+        if len(place.zones) == 1:
+            return ()
+        return tuple(self.zones[zone] for zone in sorted(place.zones, key=lambda zone: (-capacity[zone], zone)))
+
+    def sight(self, place: Place, fleet: tuple | None = None, before: float = float("inf")) -> Sight:
+        """What is seen of a place now; `fleet`: what `_fleet` says, where more than one is looked at; `before`: as
+        `_left` takes it."""
+        now, number = self.loop.clock(), self.by_topic[place.topic][0]
         servers, capacity, busy = fleet or self._fleet()
-        takers = [met for (_, there), met in self.look.items() if there != zone and not self.shares[there]]
+        left, stage = self._left(before, place), self.stage(place)
+        order = self._numbers(stage.order if stage is not None and stage.order else self._order(place, capacity))
+        takers = [met for (_, there), met in self.look.items() if there not in place.zones and not left[there]]
         strained = any(met.ill or met.slow >= STRAIN for met in takers)
-        topic, standing = self.agent.topics.get(TOPIC + name), self.agent.standing(TOPIC + name)
-        epoch = standing.epoch if standing is not None else 0
-        if self.stood.get(zone, (-1, 0.0))[0] != epoch:  # proposals come and go meanwhile
-            self.stood[zone] = epoch, now
-        verdict, own = self.lasting.now[zone], (zone, zone) in self.look
-        inside = self._said_inside(name)
+        verdict, own = self.lasting.now[number], all((zone, zone) in self.look for zone in place.zones)
+        inside = set().union(*(self._said_inside(self.zones[zone]) for zone in place.zones))
         if verdict is Verdict.ILL and not own and "well" in inside:
             verdict = Verdict.CUT  # those inside it see it well, whom other supervisors serve
+        topic = self.agent.topics.get(place.topic)
         opened = topic.opened if topic is not None and topic.record is not None else now
         return Sight(
-            verdict, self.lasting.lasted(zone, verdict, now), self.lasting.fresh[zone],
-            dead(zone, self.look), strained,
-            min(ceiling(servers, self.shares, zone, self.limits),
-                bearing(busy, capacity, self.shares, zone, self.limits)), now - self.stood[zone][1],
-            any(share > 0 for other, share in enumerate(self.shares) if other != zone),
-            own or "" not in inside or now - opened >= TOLD_WITHIN,
+            verdict, min(MOST, self.lasting.lasted(number, verdict, now)), self.lasting.fresh[number],
+            dead(place.zones, self.look), strained,
+            min(ceiling(servers, left, order or place.zones, self.limits),
+                bearing(busy, capacity, left, order or place.zones, self.limits)),
+            now - self._stands_since(place), any(left), own or "" not in inside or now - opened >= TOLD_WITHIN,
         )  # fmt: skip
 
     def _said_inside(self, zone: str) -> set[str]:
@@ -164,7 +204,7 @@
     def _say_inside(self) -> None:
         """Guards against leaving a zone that is well inside, where each supervisor serves the proxies of some zones
         alone. Said only while a zone is in question: at rest nothing is written."""
-        asked = any(self.agent.is_open(TOPIC + zone) for zone in self.zones)
+        asked = any(self.agent.is_open(place.topic) for place in self.places)
         inside = {}
         if asked or any(met.ill for met in self.look.values()):
             inside = {zone: "ill" if self.look[n, n].ill else "well" for n, zone in enumerate(self.zones)
@@ -175,7 +215,9 @@
         self.loop.after(self.facts.report_period, self._turn)
         now = self.loop.clock()
         self.look = self.evidence.look(now)
-        self.lasting.take(now, self.look)
+        left = [any(self.shares[zone] for zone in place.zones) for place in self.places]
+        self.lasting.take(now, [of_place(place.zones, self.look, partly)
+                                for place, partly in zip(self.places, left, strict=True)])  # fmt: skip
         self._apply()
         if not self.agent.holds():
             self.wanted.clear()
@@ -183,14 +225,20 @@
         self._say_inside()
         self.agent.look()
         fleet = self._fleet()
-        for number, zone in enumerate(self.zones):
-            self._propose(zone, self.sight(number, fleet), now)
+        for place in self.places:
+            self._propose(place, fleet, now)
 
     def _apply(self) -> None:
-        """Lays what stands over the list. While no lease holds, the last that was acted on goes on: the stage holds."""
-        if not self.agent.holds() or not self.agent.records.whole:
-            return
-        shares = [0.0 if (stage := self.stage(zone)) is None else stage.share for zone in self.zones]
+        """Lays what stands over the list. While no lease holds, the last that was acted on goes on: the stage holds,
+        but for what an operator lets in again at this supervisor alone."""
+        if self.agent.holds() and self.agent.records.whole:
+            self.alone.clear()
+            shares = self._left()
+        else:
+            shares = list(self.shares)
+            for topic, share in self.alone.items():
+                for zone, own in self.by_topic[topic][1].shares(share).items():
+                    shares[zone] = min(shares[zone], own)
         if shares == self.shares:
             return
         self.log("zones", shares=dict(zip(self.zones, shares, strict=True)))
@@ -201,100 +249,160 @@
 
     # ---- proposals and words ----------------------------------------------------------------------------------
 
-    def _propose(self, zone: str, sight: Sight, now: float) -> None:
-        following = next_stage(zone, self.stage(zone), sight, self.limits)
-        if following is None or self.agent.is_open(TOPIC + zone):
-            self.wanted.pop(zone, None)
+    def _standing(self, place: Place) -> bool:
+        return (stage := self.stage(place)) is not None and stage.phase != "back"
+
+    def _yields_to(self, place: Place, ill: bool = True) -> str:
+        """The place for whose sake leaving this one does not begin: a region that is left as one or, with `ill`, is
+        seen to be ill as a whole; a zone of it that is left by itself. Guards against one failure that is left twice."""
+        for number, other in enumerate(self.places):
+            if other is place or not set(other.zones) & set(place.zones):
+                continue
+            whole = len(other.zones) > len(place.zones) and self.lasting.now[number] is Verdict.ILL
+            if self._standing(other) or (ill and whole):
+                return other.name
+        return ""
+
+    def _propose(self, place: Place, fleet: tuple, now: float) -> None:
+        stage, sight = self.stage(place), self.sight(place, fleet)
+        order = stage.order if self._standing(place) else self._order(place, fleet[1])
+        following = next_stage(place.name, stage, sight, self.limits, order)
+        if following is None or self.agent.is_open(place.topic):
+            self.wanted.pop(place.topic, None)
             return
-        known = self.wanted.get(zone)
+        if not self._standing(place) and self._yields_to(place):
+            return
+        known = self.wanted.get(place.topic)
         since = known[1] if known is not None and known[0].phase == following.phase else now
-        self.wanted[zone] = following, since
-        order = self.agent.roll.order()
-        rank = order.index(self.agent.name) if self.agent.name in order else len(order)
-        if zone in self.open or now < since + rank * STAGGER * self.limits.pace:
+        self.wanted[place.topic] = following, since
+        ranks = self.agent.roll.order()
+        rank = ranks.index(self.agent.name) if self.agent.name in ranks else len(ranks)
+        if place.topic in self.open or now < since + rank * STAGGER * self.limits.pace:
             return
-        self._put(zone, following)
+        self.on_decided(now, "next", place.topic, (place.name, stage, sight, self.limits, order), following)
+        self._put(place, following)
 
-    def _put(self, zone: str, stage: Stage, binds_for: float | None = None) -> None:
+    def _put(self, place: Place, stage: Stage, binds_for: float | None = None) -> None:
         expected = self.agent.roll.expected
 
         def done(proposal) -> None:
-            self.log("stage", zone=zone, phase=stage.phase, share=stage.share, state=proposal.state, why=proposal.why)
+            self.log("stage", zone=place.name, phase=stage.phase, share=stage.share, state=proposal.state,
+                     why=proposal.why)  # fmt: skip
             # What was objected to is not asked again at once.
-            self.loop.after(self.limits.pace, lambda: self.open.discard(zone))
+            self.loop.after(self.limits.pace, lambda: self.open.discard(place.topic))
 
-        self.open.add(zone)
+        self.open.add(place.topic)
         self.agent.propose(
-            TOPIC + zone, msgspec.to_builtins(stage), expected, len(expected) // 2 + 1, PATIENCE * self.limits.pace,
+            place.topic, msgspec.to_builtins(stage), expected, len(expected) // 2 + 1, PATIENCE * self.limits.pace,
             done, binds_for,
         )  # fmt: skip
 
     def _word(self, record: agreement.Record) -> tuple[bool, str] | None:
+        _, place = self.by_topic[record.topic]
         try:
-            stage = msgspec.convert(record.body, Stage)
-        except msgspec.ValidationError as error:
-            return False, f"no stage: {error}"
-        if stage.zone not in self.zones or record.topic != TOPIC + stage.zone:
-            return False, f"zone {stage.zone!r} is not known here"
-        return word(self._stage_of(record.standing), stage, self.sight(self.zones.index(stage.zone)), self.limits)
+            stage = read_stage(record.body, place, self.zones)
+        except BadStage as error:
+            return False, str(error)
+        if stage.phase == "leaving" and not self._standing(place) and (other := self._yields_to(place, ill=False)):
+            return False, f"{other} is left already"
+        old, sight = self._stage_of(place, record.standing), self.sight(place, before=record.epoch)
+        said = word(old, stage, sight, self.limits)
+        if said is not None:
+            self.on_decided(self.loop.clock(), "word", place.topic, (old, stage, sight, self.limits), said)
+        return said
 
     # ---- by hand ----------------------------------------------------------------------------------------------
 
     def order(self, ordered: Ordered) -> dict:
         """An operator's order: proposes it, or says with `dry` what it would be. Refused where it cannot be."""
-        if ordered.zone not in self.zones:
-            raise Refused(400, f"zone {ordered.zone!r} is none of {', '.join(self.zones)}")
-        zone, stage = ordered.zone, self.stage(ordered.zone)
-        sight = self.sight(self.zones.index(zone))
-        standing = stage if stage is not None else Stage(zone, "back", 0.0, 0.0)
+        place = next((place for place in self.places if place.name == ordered.zone), None)
+        if place is None:
+            raise Refused(400, f"{ordered.zone!r} is none of {', '.join(each.name for each in self.places)}")
+        stage, fleet = self.stage(place), self._fleet()
+        sight, lasts = self.sight(place, fleet), None
+        order = stage.order if self._standing(place) else self._order(place, fleet[1])
+        standing = stage if stage is not None else Stage(place.name, "back", 0.0, 0.0)
         if ordered.what == "leave":
             if ordered.share > sight.bears + SMALL:
                 raise Refused(409, f"the rest bears {sight.bears:.2f} of it: ask for no more, or raise the ceiling")
-            new = Stage(zone, "left", ordered.share, ordered.share, by=ordered.by, account="by hand")
+            new = Stage(place.name, "left", ordered.share, ordered.share, by=ordered.by, account="by hand", order=order)
             lasts = ordered.lasts
         elif ordered.what == "hold":
-            new = msgspec.structs.replace(standing, by=ordered.by, account="held by hand")
+            new = msgspec.structs.replace(standing, by=ordered.by, account="held by hand", order=order)
             lasts = ordered.lasts
-        elif ordered.what == "return":
+        elif ordered.what in ("return", "alone"):
             if standing.share <= SMALL:
-                raise Refused(409, f"nothing of {zone} is left")
-            share = max(0.0, standing.share - self.limits.trickle)
-            new = Stage(zone, "returning", share, standing.share, standing.flaps, account=f"ordered by {ordered.by}")
-            lasts = None
+                raise Refused(409, f"nothing of {place.name} is left")
+            share = max(0.0, standing.share - self.limits.trickle) if ordered.what == "return" else ordered.share
+            new = Stage(place.name, "returning", share, standing.share, standing.flaps,
+                        account=f"ordered by {ordered.by}", order=standing.order)  # fmt: skip
         else:
-            raise Refused(400, f"{ordered.what[:32]!r}: leave, hold or return is wanted")
-        try:
-            follows(stage, new, self.limits)
-        except BadStage as error:
-            raise Refused(409, str(error)) from None
-        if not ordered.dry:
+            raise Refused(400, f"{ordered.what[:32]!r}: leave, hold, return or alone is wanted")
+        if ordered.what == "alone":
+            new = msgspec.structs.replace(new, account=f"here alone, ordered by {ordered.by}")
+            self._check_alone(place, ordered.share)
+        else:
+            try:
+                follows(stage, new, self.limits)
+            except BadStage as error:
+                raise Refused(409, str(error)) from None
+        if not ordered.dry and ordered.what == "alone":
+            self.log("alone", level="warning", zone=place.name, share=ordered.share, by=ordered.by)
+            self.alone[place.topic] = ordered.share
+            self._apply()
+        elif not ordered.dry:
             if not self.agent.holds():
                 raise Refused(503, "this supervisor has no lease; ask another, or wait for the store")
-            self._put(zone, new, lasts)
+            self._put(place, new, lasts)
         servers = {name: {"ready": 0, "left": 0} for name in self.zones}
-        shares = [new.share if name == zone else share for name, share in zip(self.zones, self.shares, strict=True)]
         trial = Overlay(len(self.zones))
-        trial.entries, trial.shares = self.overlay.entries, shares
+        trial.entries, trial.shares = self.overlay.entries, self._left(but=place)
+        for zone, share in place.shares(new.share, self._numbers(new.order)).items():
+            trial.shares[zone] = max(trial.shares[zone], share)
         out = trial.wanted()
         for entry in self.overlay.entries.values():
             if entry.state == face.READY:
                 servers[self.zones[entry.zone]]["left" if entry.server in out else "ready"] += 1
         return {"proposed": not ordered.dry, "stage": new, "servers": servers}
 
+    def _check_alone(self, place: Place, share: float) -> None:
+        """What one supervisor may let in by itself, while the store is away: no more at once than in a return."""
+        if self.agent.holds():
+            raise Refused(409, "the store answers: what is left is settled by all, ask for `return`")
+        stands = max(self.shares[zone] for zone in place.zones)
+        most = max(self.limits.trickle, 1.0 - stands)
+        if not stands - most - SMALL <= share < stands:
+            least = max(0.0, stands - most)
+            raise Refused(409, f"{stands:.2f} of it is left here: say a share from {least:.2f} to below that")
+
     def view(self) -> list[dict]:
         """What `driftshed zone status` shows."""
         rows, fleet = [], self._fleet()
-        for number, zone in enumerate(self.zones):
-            sight, stage = self.sight(number, fleet), self.stage(zone)
+        for place in self.places:
+            sight, stage = self.sight(place, fleet), self.stage(place)
             rows.append({
-                "zone": zone, "share": self.shares[number], "stage": stage, "verdict": sight.verdict.value,
+                "zone": place.name, "share": max(self.shares[zone] for zone in place.zones), "stage": stage,
+                "zones": [self.zones[zone] for zone in place.zones], "verdict": sight.verdict.value,
                 "lasted": round(min(sight.lasted, 1e6), 1), "bears": round(sight.bears, 3), "strained": sight.strained,
-                "met": {self.zones[here]: met._asdict() for (here, there), met in sorted(self.look.items())
-                        if there == number},
+                "alone": place.topic in self.alone,
+                "met": {f"{self.zones[here]}>{self.zones[there]}": met._asdict()
+                        for (here, there), met in sorted(self.look.items()) if there in place.zones},
             })  # fmt: skip
         return rows
 
 
+def read_stage(body: object, place: Place, zones: tuple[str, ...]) -> Stage:
+    """A record's body as a stage of its place; BadStage says why it is none."""
+    try:
+        stage = msgspec.convert(body, Stage)
+    except msgspec.ValidationError as error:
+        raise BadStage(f"no stage: {error}") from None
+    own = sorted(zones[zone] for zone in place.zones)
+    if stage.zone != place.name or (sorted(stage.order) != own if len(own) > 1 else stage.order):
+        raise BadStage(f"{stage.zone!r} of {', '.join(stage.order) or 'one zone'} is not what {place.name!r} is here")
+    return stage
+
+
 def read_limits(text: str) -> Limits:
     """Limits from "lasting=4,pace=2"; ValueError names what is wrong and what there is."""
     given = {}
--- a/driftshed/evacuation/stages.py
+++ b/driftshed/evacuation/stages.py
@@ -11,6 +11,7 @@
 from msgspec import Meta, Struct
 
 from driftshed.evacuation.evidence import Verdict
+from driftshed.evacuation.places import reach
 
 Share = Annotated[float, Meta(ge=0, le=1)]
 SMALL = 1e-5
@@ -23,7 +24,7 @@
 class Stage(Struct, frozen=True):
     """`share`: of the zone's servers that are left; `good`: the share at which the last step of a return was borne;
     `flaps`: returns that failed of late; `dead`: hardly anything succeeds there, so it is left at once; `by`: who
-    orders it by hand, None where evidence does; `account`: why."""
+    orders it by hand, None where evidence does; `account`: why; `order`: of a region, its zones as they come back."""
 
     zone: str
     phase: Literal["leaving", "left", "returning", "back"]
@@ -33,6 +34,7 @@
     dead: bool = False
     by: Annotated[str, Meta(max_length=64)] | None = None
     account: Annotated[str, Meta(max_length=512)] = ""
+    order: tuple[str, ...] = ()
 
 
 STAGES = msgspec.json.Decoder(Stage)
@@ -68,22 +70,27 @@
     told: bool = True  # what those inside the zone see is known, or nobody has said it in time
 
 
-def ceiling(servers: list[int], left: list[float], zone: int, limits: Limits) -> float:
-    """The share of a zone that may be left, by counts of servers that are listed ready and the shares that are left of
-    the other zones. Guards against a cascade: one zone after the other would leave nobody to serve."""
+def ceiling(servers: list[int], left: list[float], zones: tuple[int, ...], limits: Limits) -> float:
+    """The share of a place that may be left, by counts of servers that are listed ready and the shares that are left of
+    the zones; `zones`: those of the place, as they come back. Guards against a cascade: one zone after the other would
+    leave nobody to serve."""
     spare = limits.ceiling * sum(servers) - sum(n * s for k, (n, s) in enumerate(zip(servers, left, strict=True))
-                                                if k != zone)  # fmt: skip
-    return max(0.0, min(1.0, spare / servers[zone])) if servers[zone] else 0.0
+                                                if k not in zones)  # fmt: skip
+    own = [servers[zone] for zone in zones]
+    return max(0.0, reach(own, spare)) if any(own) else 0.0
 
 
-def bearing(busy: list[float], capacity: list[float], left: list[float], zone: int, limits: Limits) -> float:
-    """The share of a zone whose work the rest can take on, by zone what is under way at a time and the weight of its
+def bearing(
+    busy: list[float], capacity: list[float], left: list[float], zones: tuple[int, ...], limits: Limits
+) -> float:
+    """The share of a place whose work the rest can take on, by zone what is under way at a time and the weight of its
     servers as warm as they are; 1.0 where it is not known when a server is full."""
-    if not limits.full or busy[zone] <= 0:
+    own = [max(0.0, busy[zone]) for zone in zones]
+    if not limits.full or not any(own):
         return 1.0
     spare = sum(max(0.0, limits.full * c * (1 - s) - b)
-                for k, (b, c, s) in enumerate(zip(busy, capacity, left, strict=True)) if k != zone)  # fmt: skip
-    return min(1.0, spare / busy[zone])
+                for k, (b, c, s) in enumerate(zip(busy, capacity, left, strict=True)) if k not in zones)  # fmt: skip
+    return reach(own, spare)
 
 
 def patience(dead: bool, limits: Limits) -> float:
@@ -91,8 +98,11 @@
     return limits.lasting / 2 if dead else limits.lasting
 
 
-def next_stage(zone: str, stage: Stage | None, sight: Sight, limits: Limits) -> Stage | None:
-    """The stage that is to follow now by one supervisor's sight, or None."""
+def next_stage(
+    zone: str, stage: Stage | None, sight: Sight, limits: Limits, order: tuple[str, ...] = ()
+) -> Stage | None:
+    """The stage that is to follow now by one supervisor's sight, or None; `order`: of a region, in which its zones are
+    to come back, if it is left."""
     most = sight.bears
     if stage is None or stage.phase == "back":
         flaps = stage.flaps if stage is not None and sight.stood < limits.rest_most else 0
@@ -104,8 +114,8 @@
         share = round(min(1.0 if sight.dead else limits.step, most), 6)
         if share <= SMALL:
             return None
-        return Stage(zone, "leaving", share, flaps=flaps, dead=sight.dead,
-                     account=f"ill for {sight.lasted:.1f} s; the rest bears {most:.2f} of it")  # fmt: skip
+        why = f"ill for {sight.lasted:.1f} s; the rest bears {most:.2f} of it"
+        return Stage(zone, "leaving", share, flaps=flaps, dead=sight.dead, account=why, order=order)
     if stage.by is not None or sight.stood < limits.pace:
         return None
     if stage.phase == "leaving":
@@ -138,6 +148,8 @@
     """Whether a stage may follow on what stands, whoever proposes it; BadStage says why not."""
     if new.by is not None:
         return  # by hand: bounded in time by its record
+    if old is not None and old.phase != "back" and new.order != old.order:
+        raise BadStage(f"{new.zone}: its zones come back as {', '.join(old.order)}, not {', '.join(new.order)}")
     if old is None or old.phase == "back":
         if new.phase != "leaving" or (new.share > limits.step + SMALL and not new.dead):
             raise BadStage(f"{new.zone}: leaving begins with a step of {limits.step:g} at the most")
--- a/driftshed/lab/grounds.py
+++ b/driftshed/lab/grounds.py
@@ -19,6 +19,7 @@
 from driftshed.day.stage import CONTROL_PORT, ROSTER_PORT, Cast, ProxyProcess, SupervisorProcess, free_net
 from driftshed.day.traffic import StoreTalk
 from driftshed.evacuation.part import Evacuation, read_limits
+from driftshed.evacuation.places import read_regions
 from driftshed.lab.record import Record
 from driftshed.lab.scenario import BadScenario, Link, Scenario, control_zone
 from driftshed.lab.virtual import Network, Seat, VirtualLoop, Way
@@ -163,7 +164,10 @@
             )  # fmt: skip
         if fleet.leave_zones:
             log = lambda event, **fields: self._log(event, by=number, **fields)  # noqa: E731
-            self.leaving[number] = Evacuation(seat, service, self.agents[number], read_limits(fleet.zone_limits), log)
+            regions = read_regions(fleet.regions, self.facts.zones)
+            self.leaving[number] = Evacuation(
+                seat, service, self.agents[number], read_limits(fleet.zone_limits), log, regions
+            )
 
     # A store of nodes, where the scenario has one.
 
--- a/driftshed/lab/scenario.py
+++ b/driftshed/lab/scenario.py
@@ -16,6 +16,7 @@
 
 from driftshed import interface as face
 from driftshed.evacuation.part import read_limits
+from driftshed.evacuation.places import read_regions
 from driftshed.standins.emulator import Machine
 from driftshed.supervisor.flags import facts_of
 
@@ -60,6 +61,7 @@
     hears_within: Span = 2.0  # until a proxy gives a silent one of several up
     leave_zones: bool = False  # zones that fail are left as a fleet
     zone_limits: str = ""  # as `--zone-limits`
+    regions: str = ""  # as `--regions`
 
 
 class Traffic(Struct, forbid_unknown_fields=True):
@@ -345,8 +347,9 @@
         raise BadScenario("at most 10 zones, and 3,750 proxies in each")
     try:
         read_limits(scenario.fleet.zone_limits)
+        read_regions(scenario.fleet.regions, facts.zones)
     except ValueError as error:
-        raise BadScenario(f"fleet.zone_limits: {error}") from None
+        raise BadScenario(f"fleet.zone_limits or fleet.regions: {error}") from None
     if scenario.fleet.leave_zones and scenario.fleet.supervisors == 1:
         raise BadScenario("fleet.leave_zones: zones are left as a fleet: several supervisors are wanted")
     if scenario.fleet.supervisors > 1 and not scenario.fleet.store:
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -50,13 +50,14 @@
 @option("fleet-timeout", type=click.FloatRange(0.1, 60), default=6.0, help="seconds of silence that end its session")
 @option("leave-zones", is_flag=True, default=False, help="leave zones that fail and return to them, as a fleet")
 @option("zone-limits", default="", help="lasting=4,pace=2,step=0.5,trickle=0.1,rest=10,rest_most=160,ceiling=0.5")
+@option("regions", default="", help="REGION=ZONE+ZONE,...: zones that are left as one where they fail as one")
 @fact_options
 def supervise(
     listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
     log_level: str, trace: Path | None, trace_size: float, trace_age: float, trace_fsync: float, connect: str,
     root: str, session_timeout: float, lapse_hold: float, lapse_hold_most: float, fleet_connect: str,
     fleet_root: str, advertise: str, name: str, expected: str, fleet_timeout: float, leave_zones: bool,
-    zone_limits: str, **given: object,
+    zone_limits: str, regions: str, **given: object,
 ) -> None:  # fmt: skip
     """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
     host, _, port = listen.rpartition(":")
@@ -98,11 +99,13 @@
         if agent is None:
             raise click.BadParameter("zones are left as a fleet: give --fleet-connect too", param_hint="--leave-zones")
         from driftshed.evacuation.part import Evacuation, read_limits
+        from driftshed.evacuation.places import read_regions
 
         try:
-            agent.evacuation = Evacuation(loop, service, agent, read_limits(zone_limits), log)
+            limits, by_region = read_limits(zone_limits), read_regions(regions, facts.zones)
         except ValueError as error:
-            raise click.BadParameter(str(error), param_hint="--zone-limits") from None
+            raise click.BadParameter(str(error), param_hint="--zone-limits or --regions") from None
+        agent.evacuation = Evacuation(loop, service, agent, limits, log, by_region)
 
     writer = None
     if trace is not None:
@@ -114,7 +117,10 @@
             raise click.BadParameter(text, param_hint="--trace") from None
         for name, blocks, taken in writer.recovered:
             log("trace_recovered", file=name, blocks=blocks, bytes_cut_off=taken)
-        service.on_message = Recording(instance, writer).message
+        recording = Recording(instance, writer)
+        service.on_message = recording.message
+        if leave_zones:
+            agent.evacuation.on_decided = recording.decided
         tend_trace(loop, writer, log)
 
     def stop(number: int) -> None:
--- a/driftshed/trace/command.py
+++ b/driftshed/trace/command.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -22,6 +23,8 @@
 
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 OUT = click.Path(dir_okay=False, path_type=Path)
+# By how a topic begins: what decides again what was recorded; the command line fills it in.
+DECIDERS: dict[str, Callable[[dict], str]] = {}
 
 
 class Group(click.Group):
@@ -37,6 +40,7 @@
             sys.exit(0)
 
 
+
 @click.group(cls=Group)
 def trace() -> None:
     """Traces: record with `supervise --trace DIR` or `day --trace DIR`, then look at what was."""
@@ -187,11 +191,11 @@
 def replay(files, other_core) -> None:
     """Feeds recorded events to the module and says where orders first differ. Give all files of a recording, in order.
     Exit code 0: all the same; 1: some differ; 3: of some nothing can be said, or there is nothing to replay."""
-    playing = Replay(other_core)
+    playing = Replay(other_core, deciders=DECIDERS)
     for file in files:
         with TraceFile(file) as opened:
-            for batch, row in opened.in_order({"start", "turn"}):
-                playing.start(row) if batch.kind == "start" else playing.turn(row)
+            for batch, row in opened.in_order({"start", "turn", "decision"}):
+                getattr(playing, batch.kind)(row)
             for damage in opened.damages:
                 click.echo(f"{file}: byte {damage.offset}: {damage.why}", err=True)
     verdicts = playing.verdicts()
--- a/driftshed/trace/recording.py
+++ b/driftshed/trace/recording.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from driftshed.core.hosting import Fault
 from driftshed.core.instance import Instance
 from driftshed.trace.replay import RAISED, core_version, encode_facts, encode_records
@@ -51,6 +53,11 @@
         self._add(now, Encoded(events), RAISED + fault.error.encode())
         self.was_fault(fault)
 
+    def decided(self, now: float, what: str, topic: str, given: object, said: object) -> None:
+        """A decision of one of the parts that supervisors settle together, with all that it rests on."""
+        self.writer.add("decision", self.unix(now), run=self.instance.hub.run, what=what, topic=topic,
+                        given=msgspec.json.encode(given), said=msgspec.json.encode(said))  # fmt: skip
+
     def message(self, now: float, name: str, sent: bool) -> None:
         """A message that a proxy's trace sees from its side."""
         self.writer.add("message", self.unix(now), id=name, sent=int(sent))
--- a/driftshed/trace/replay.py
+++ b/driftshed/trace/replay.py
@@ -15,6 +15,7 @@
 from driftshed.trace.columns import TraceError
 
 DECIDES = ("brain.py", "figures.py", "interface.py")
+SETTLED = -1  # in place of which instance of a run: what it settled with other supervisors
 RAISED = b"!"  # in place of orders: the module raised, and what
 
 
@@ -56,7 +57,8 @@
 
 
 class Verdict(NamedTuple):
-    """What a replay of one instance came to: "same", "differs" or "unknown"; how many turns were judged; why."""
+    """What a replay of one instance came to: "same", "differs" or "unknown"; how many turns were judged; why. `begin`
+    -1: of the decisions that the run took on what supervisors settle together."""
 
     run: str
     begin: int
@@ -68,11 +70,15 @@
 class Replay:
     """Hears the records of all instances of a trace in order; `verdicts()` at the end."""
 
-    def __init__(self, other_core: bool = False, make: Callable[..., Brain] = Brain, core: str | None = None) -> None:
+    def __init__(
+        self, other_core: bool = False, make: Callable[..., Brain] = Brain, core: str | None = None,
+        deciders: dict[str, Callable[[dict], str]] | None = None,
+    ) -> None:  # fmt: skip
         self.make, self.other_core, self.core = make, other_core, core or core_version()
         self.brains: dict[tuple[str, int], Brain | None] = {}
         self.turns: dict[tuple[str, int], int] = {}
         self.found: dict[tuple[str, int], Verdict] = {}
+        self.deciders = deciders or {}  # by how a topic begins: says how a decision comes out otherwise, or ""
 
     def _end(self, key: tuple[str, int], said: str, why: str) -> None:
         if key not in self.found:
@@ -110,9 +116,25 @@
             return
         self.turns[key] += 1
 
+    def decision(self, row: dict) -> None:
+        """A decision on a topic that supervisors settle together: it stands for itself, with what it rests on."""
+        kind = row["topic"].partition(".")[0]
+        key = row["run"], SETTLED
+        if key in self.found:
+            return
+        decide = self.deciders.get(kind)
+        if decide is None:
+            self._end(key, "unknown", f"nothing here decides on topics such as {row['topic']!r}")
+        elif differs := decide(row):
+            self._end(key, "differs", f"{row['what']} on {row['topic']} at {row['at']:.6f} s: {differs}")
+        else:
+            self.turns[key] = self.turns.get(key, 0) + 1
+            self.brains.setdefault(key, None)
+
     def verdicts(self) -> list[Verdict]:
         for key in [key for key in self.brains if key not in self.found]:
-            self._end(key, "same", f"{self.turns[key]} turns bring the same orders, byte for byte")
+            what = "decisions come out the same" if key[1] == SETTLED else "turns bring the same orders, byte for byte"
+            self._end(key, "same", f"{self.turns[key]} {what}")
         return [self.found[key] for key in sorted(self.found)]
 
 
--- a/driftshed/trace/schema.py
+++ b/driftshed/trace/schema.py
@@ -20,6 +20,9 @@
     "start": BASE | {"run": "s", "begin": "i", "now": "f", "seed": "i", "core": "s", "facts": "b"},
     # One batch that the module heard, and what it ordered; `turn` counts without a hole within (`run`, `begin`).
     "turn": BASE | {"run": "s", "begin": "i", "turn": "i", "now": "f", "events": "b", "orders": "b"},
+    # What a part that supervisors settle together decided on a topic, `what` kind of decision, and all that it
+    # rests on; both in JSON.
+    "decision": BASE | {"run": "s", "what": "s", "topic": "s", "given": "b", "said": "b"},
     # A message seen at one end: the other end has the same `id`. What clocks are compared by.
     "message": BASE | {"id": "s", "sent": "i"},
     # Records that could not be written.
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,7 +6,7 @@
 import pytest
 
 from driftshed import interface as face
-from driftshed.evacuation.evidence import ENOUGH, Evidence, Lasting, Met, Verdict, dead, verdict
+from driftshed.evacuation.evidence import ENOUGH, Evidence, Lasting, Met, Verdict, dead, of_place, verdict
 from driftshed.evacuation.overlay import Overlay
 from driftshed.evacuation.part import read_limits
 from driftshed.evacuation.stages import BadStage, Limits, Sight, Stage, bearing, ceiling, follows, next_stage, word
@@ -46,7 +46,7 @@
     ({(0, 1): ILL, (0, 0): ILL, (0, 2): ILL}, Verdict.ALIKE),  # one supervisor's proxies
 ])  # fmt: skip
 def test_what_a_look_says_of_a_zone(seen, said):
-    assert verdict(1, seen) is said
+    assert verdict(1, seen) is said is of_place((1,), seen)
     assert verdict(2, look(x1=ILL)) is Verdict.WELL  # the others are not blamed
 
 
@@ -73,12 +73,16 @@
 
 def test_silence_ends_no_illness_and_a_new_look_begins_it_anew():
     lasting = Lasting(3)
+
+    def take(now, seen):
+        lasting.take(now, [verdict(zone, seen) for zone in ZONES])
+
     for now, seen in ((0, look()), (1, look(x1=ILL)), (5, {})):
-        lasting.take(now, seen)
+        take(now, seen)
     assert lasting.now[1] is Verdict.ILL and lasting.lasted(1, Verdict.ILL, 9) == 8 and not lasting.fresh[1]
-    lasting.take(10, look(x1=ILL))
+    take(10, look(x1=ILL))
     assert lasting.lasted(1, Verdict.ILL, 11) == 1 and lasting.fresh[1]
-    assert dead(1, look(x1=Met(9, 0.95, 1.0))) and not dead(1, look(x1=ILL)) and not dead(1, {})
+    assert dead((1,), look(x1=Met(9, 0.95, 1.0))) and not dead((1,), look(x1=ILL)) and not dead((1,), {})
 
 
 # ---- stages ----------------------------------------------------------------------------------------------------
@@ -168,19 +172,19 @@
     assert step(failed, sight(Verdict.WELL, stood=LIMITS.rest * 4)).phase == "returning"
     assert step(msgspec.structs.replace(failed, flaps=50), WELL) is not None  # bounded
     assert step(None, sight(strained=True, others=True)) is None and step(None, sight(others=True)) is not None
-    assert ceiling([10, 10, 10], [1.0, 0.0, 0.0], 1, LIMITS) == pytest.approx(0.5)
-    assert ceiling([10, 10, 10], [1.0, 0.5, 0.0], 2, LIMITS) == 0.0 == ceiling([0, 5, 5], [0.0] * 3, 0, LIMITS)
+    assert ceiling([10, 10, 10], [1.0, 0.0, 0.0], (1,), LIMITS) == pytest.approx(0.5)
+    assert ceiling([10, 10, 10], [1.0, 0.5, 0.0], (2,), LIMITS) == 0.0 == ceiling([0, 5, 5], [0.0] * 3, (0,), LIMITS)
 
 
 def test_the_rest_bears_what_it_has_room_for():
     known = Limits(full=2.0)
     busy, capacity = [6.0, 6.0, 6.0], [10.0, 5.0, 5.0]
-    assert bearing(busy, capacity, [0.0] * 3, 0, known) == 1.0  # 4 and 4 free for 6
-    assert bearing(busy, [10.0, 5.0, 3.5], [0.0] * 3, 0, known) == pytest.approx(5 / 6)
-    assert bearing(busy, capacity, [0.0, 1.0, 0.0], 0, known) == pytest.approx(4 / 6)  # one is left already
-    assert bearing([6.0, 12.0, 12.0], capacity, [0.0] * 3, 0, known) == 0.0
-    assert bearing(busy, capacity, [0.0] * 3, 0, LIMITS) == 1.0  # not known
-    assert bearing([0.0, 6.0, 6.0], capacity, [0.0] * 3, 0, known) == 1.0
+    assert bearing(busy, capacity, [0.0] * 3, (0,), known) == 1.0  # 4 and 4 free for 6
+    assert bearing(busy, [10.0, 5.0, 3.5], [0.0] * 3, (0,), known) == pytest.approx(5 / 6)
+    assert bearing(busy, capacity, [0.0, 1.0, 0.0], (0,), known) == pytest.approx(4 / 6)  # one is left already
+    assert bearing([6.0, 12.0, 12.0], capacity, [0.0] * 3, (0,), known) == 0.0
+    assert bearing(busy, capacity, [0.0] * 3, (0,), LIMITS) == 1.0  # not known
+    assert bearing([0.0, 6.0, 6.0], capacity, [0.0] * 3, (0,), known) == 1.0
 
 
 def test_limits_as_text():
