--- a/driftshed/evacuation/evidence.py
+++ b/driftshed/evacuation/evidence.py
@@ -15,6 +15,7 @@
 WINDOW = 6  # report periods that a look goes back
 ENOUGH = 5  # tries of one zone in another without which nothing is said
 ERRED, SLOW, DEAD = 0.3, 3.0, 0.9  # share of tries that errored; times the usual latency; share that errored
+LATE = 0.6  # of the mean latency objective: with a mean of this much, many answers come after it
 USUAL_OVER = 60  # report periods over which the usual is learnt
 
 
@@ -32,11 +33,17 @@
     tries: int
     erred: float  # share of tries
     slow: float  # mean latency of the good ones, in times of the usual; 1.0 where there is none
+    late: float = 0.0  # the same, in times of the mean latency objective
 
     @property
     def ill(self) -> bool:
         return self.erred >= ERRED or self.slow >= SLOW
 
+    @property
+    def overrun(self) -> bool:
+        """Whether much of it comes too late, or not at all."""
+        return self.erred >= ERRED or self.late >= LATE
+
 
 class Evidence:
     """Sums of reports over a window. Times are seconds on one clock."""
@@ -44,6 +51,7 @@
     def __init__(self, facts: face.StartFacts) -> None:
         self.window = WINDOW * facts.report_period
         self.learns = 1 / USUAL_OVER
+        self.objective = sum(each.latency_objective for each in facts.operations) / len(facts.operations)
         self.rows: dict[tuple[int, int], deque[tuple]] = {}  # when, tries, errored, latencies, good
         self.usual: dict[tuple[int, int], float] = {}
         self.busy: dict[tuple[int, int], float] = {}  # invocations under way at a time, as is usual
@@ -72,7 +80,8 @@
             good = sum(row[4] for row in rows)
             mean = sum(row[3] for row in rows) / good if good else None
             usual = self.usual.get(pair)
-            met = Met(tries, errored / tries, mean / usual if mean and usual else 1.0)
+            met = Met(tries, errored / tries, mean / usual if mean and usual else 1.0,
+                      (mean or 0.0) / self.objective)  # fmt: skip
             if mean and (usual is None or not met.ill):  # what is ill does not become usual
                 self.usual[pair] = mean if usual is None else usual + self.learns * (mean - usual)
                 held = good * mean / self.window
--- a/driftshed/evacuation/overlay.py
+++ b/driftshed/evacuation/overlay.py
@@ -18,13 +18,15 @@
 
 
 class Overlay:
-    """`shares`: by zone, what is left of it. Times are seconds on the clock that the list's starts are told in."""
+    """`shares`: by zone, what is left of it; `warm_within`: seconds until a started server is warm. Times are seconds
+    on the clock that the list's starts are told in."""
 
-    def __init__(self, zones: int) -> None:
-        self.shares = [0.0] * zones
+    def __init__(self, zones: int, warm_within: float = 0.0) -> None:
+        self.shares, self.warm_within = [0.0] * zones, warm_within
         self.entries: dict[face.Server, face.Entry] = {}  # as listed
         self.out: set[face.Server] = set()
-        self.back_at: dict[face.Server, float] = {}  # when it was let in again
+        self.out_at: dict[face.Server, float] = {}  # since when it is left
+        self.back_at: dict[face.Server, float] = {}  # of one that was let in again: when it is to be taken for started
 
     def wanted(self) -> set[face.Server]:
         """The servers that are left by the shares that stand."""
@@ -71,8 +73,11 @@
     def _settle(self, now: float) -> None:
         wanted = self.wanted()
         for server in self.out - wanted:
+            idle = now - self.out_at.pop(server, now)
             if server in self.entries:
-                self.back_at[server] = now
+                # What stood idle has cooled as long as it would have warmed: one that was left for a moment is warm.
+                self.back_at[server] = now - max(0.0, self.warm_within - idle)
+        self.out_at |= dict.fromkeys(wanted - self.out, now)
         self.out = wanted
 
     def _shown(self, entry: face.Entry) -> face.Entry:
@@ -80,5 +85,5 @@
             return entry._replace(state=face.DRAINING) if entry.state == face.READY else entry
         back = self.back_at.get(entry.server)
         if back is not None and entry.state == face.READY and (entry.started is None or entry.started < back):
-            return entry._replace(started=back)  # it stood idle: cold, as one that has just started
+            return entry._replace(started=back)
         return entry
--- a/driftshed/evacuation/part.py
+++ b/driftshed/evacuation/part.py
@@ -64,7 +64,7 @@
         self.places = places(self.zones, regions or {})
         self.by_topic = {place.topic: (number, place) for number, place in enumerate(self.places)}
         self.evidence, self.lasting = Evidence(self.facts), Lasting(len(self.places))
-        self.overlay, self.shares = Overlay(len(self.zones)), [0.0] * len(self.zones)
+        self.overlay, self.shares = Overlay(len(self.zones), self.facts.warm_within), [0.0] * len(self.zones)
         self.look: dict = {}
         self.wanted: dict[str, tuple[Stage, float]] = {}  # by topic: what we would propose, since when
         self.open: set[str] = set()  # topics on which a proposal of ours is under way, or was of late
@@ -181,6 +181,7 @@
         order = self._numbers(stage.order if stage is not None and stage.order else self._order(place, capacity))
         takers = [met for (_, there), met in self.look.items() if there not in place.zones and not left[there]]
         strained = any(met.ill or met.slow >= STRAIN for met in takers)
+        overrun = 2 * sum(met.tries for met in takers if met.overrun) > sum(met.tries for met in takers)
         verdict, own = self.lasting.now[number], all((zone, zone) in self.look for zone in place.zones)
         inside = set().union(*(self._said_inside(self.zones[zone]) for zone in place.zones))
         if verdict is Verdict.ILL and not own and "well" in inside:
@@ -189,7 +190,7 @@
         opened = topic.opened if topic is not None and topic.record is not None else now
         return Sight(
             verdict, min(MOST, self.lasting.lasted(number, verdict, now)), self.lasting.fresh[number],
-            dead(place.zones, self.look), strained,
+            dead(place.zones, self.look), strained, overrun,
             min(ceiling(servers, left, order or place.zones, self.limits),
                 bearing(busy, capacity, left, order or place.zones, self.limits)),
             now - self._stands_since(place), any(left), own or "" not in inside or now - opened >= TOLD_WITHIN,
--- a/driftshed/evacuation/stages.py
+++ b/driftshed/evacuation/stages.py
@@ -64,6 +64,7 @@
     fresh: bool  # whether somebody tried it of late
     dead: bool  # hardly a try succeeds there
     strained: bool  # some zone that takes over is ill, or slow
+    overrun: bool  # most of what is tried in the zones that take over comes too late, or not at all
     bears: float  # share of the zone's servers that the rest can do without
     stood: float  # seconds since what stands on the zone was first seen
     others_left: bool  # another zone is left, in part or whole
@@ -106,18 +107,24 @@
     most = sight.bears
     if stage is None or stage.phase == "back":
         flaps = stage.flaps if stage is not None and sight.stood < limits.rest_most else 0
+        # Guards against leaving again and again what the rest could not bear.
+        if flaps and not sight.dead and sight.stood < resting(flaps, limits):
+            return None
         # Guards against leaving a second zone for what the first one's load does to it.
         if sight.verdict is not Verdict.ILL or sight.lasted < patience(sight.dead, limits):
             return None
-        if sight.others_left and sight.strained:
+        # And against leaving for zones that have no room: what is ill there still sheds what nobody could serve.
+        if sight.overrun or (sight.strained and (sight.others_left or not sight.dead)):
             return None
-        share = round(min(1.0 if sight.dead else limits.step, most), 6)
+        share = round(min(1.0 if sight.dead and not sight.strained else limits.step, most), 6)
         if share <= SMALL:
             return None
         why = f"ill for {sight.lasted:.1f} s; the rest bears {most:.2f} of it"
         return Stage(zone, "leaving", share, flaps=flaps, dead=sight.dead, account=why, order=order)
     if stage.by is not None or sight.stood < limits.pace:
         return None
+    if stage.phase != "returning" and sight.overrun and not sight.dead:
+        return given_back(stage, sight, limits)
     if stage.phase == "leaving":
         if sight.verdict is Verdict.WELL and sight.lasted >= limits.lasting:
             return msgspec.structs.replace(stage, phase="returning", good=stage.share, account="it is well again")
@@ -127,14 +134,17 @@
         return msgspec.structs.replace(stage, share=round(min(most, stage.share + limits.step), 6), account="still ill")
     if stage.phase == "left":
         still = sight.fresh and sight.verdict is Verdict.ILL  # by the part that is not left
-        if still or sight.stood < min(limits.rest_most, limits.rest * 2**stage.flaps):
+        if still or sight.stood < resting(stage.flaps, limits):
             return None
         share = round(max(0.0, stage.share - limits.trickle), 6)
         return msgspec.structs.replace(stage, phase="returning", share=share, good=stage.share, account="a trickle")
     if sight.verdict is Verdict.ILL and sight.fresh and sight.lasted >= limits.lasting / 2:
+        if sight.overrun and not sight.dead:
+            return None  # ill as it is, it carries what nobody else can
         return msgspec.structs.replace(stage, phase="left", share=stage.good, flaps=stage.flaps + 1,
                                        account="the last step was not borne")  # fmt: skip
-    if sight.strained or not borne(sight, limits):
+    # That the others show strain does not hold a return up: what comes back takes from them.
+    if not borne(sight, limits):
         return None
     if stage.share <= SMALL:
         return msgspec.structs.replace(stage, phase="back", share=0.0, good=0.0, account="all of it is back")
@@ -144,6 +154,26 @@
     return msgspec.structs.replace(stage, share=share, good=stage.share, account=why)
 
 
+def resting(flaps: int, limits: Limits) -> float:
+    """Seconds before the next try, after so many that failed."""
+    return min(limits.rest_most, limits.rest * 2**flaps)
+
+
+def given_back(stage: Stage, sight: Sight, limits: Limits) -> Stage | None:
+    """What follows where the rest cannot bear what is left: a step of it carries again. Guards against a fleet that is
+    worse off for having left: a zone that serves half of what it gets is better than others that serve nothing in
+    time. What nobody tries may be dead still, so that it is let in as a probe, and waits where probes have failed."""
+    share = round(max(0.0, stage.share - limits.step), 6)
+    if sight.fresh and sight.verdict is Verdict.ILL:
+        phase, flaps = ("left", stage.flaps) if share > SMALL else ("back", stage.flaps + 1)
+        return msgspec.structs.replace(stage, phase=phase, share=share, good=share, dead=False, flaps=flaps,
+                                       account="the rest cannot bear it")  # fmt: skip
+    if stage.flaps and sight.stood < resting(stage.flaps - 1, limits):
+        return None
+    return msgspec.structs.replace(stage, phase="returning", share=share, good=stage.share,
+                                   account="the rest cannot bear it")  # fmt: skip
+
+
 def follows(old: Stage | None, new: Stage, limits: Limits) -> None:
     """Whether a stage may follow on what stands, whoever proposes it; BadStage says why not."""
     if new.by is not None:
@@ -161,10 +191,10 @@
     if new.phase == "left" and new.share > (old.good if old.phase == "returning" else old.share) + SMALL:
         raise BadStage(f"{new.zone}: left at {new.share:.2f} after {old.phase} at {old.share:.2f}")
     let_in = old.share - new.share
-    most = max(limits.trickle, 1.0 - old.share)
-    if new.phase in ("returning", "back") and let_in > most + SMALL:
+    most = max(limits.trickle, limits.step, 1.0 - old.share)
+    if let_in > most + SMALL:
         raise BadStage(f"{new.zone}: {let_in:.2f} of it at once, {most:.2f} at the most")
-    if new.phase == "back" and (old.phase != "returning" or old.share > SMALL):
+    if new.phase == "back" and new.share > SMALL:
         raise BadStage(f"{new.zone}: not all of it was let in")
 
 
@@ -201,8 +231,6 @@
     if new.phase in ("returning", "back") and old is not None and old.phase == "returning":
         if sight.verdict is Verdict.ILL and sight.fresh:
             return False, "seen from here the last step is not borne"
-        if sight.strained:
-            return False, "seen from here who takes over shows strain"
         if not borne(sight, limits):
             return None
     return True, ""
--- a/driftshed/lab/scenario.py
+++ b/driftshed/lab/scenario.py
@@ -410,6 +410,7 @@
 SIZES = {  # servers, proxies, invocations a second, seconds
     "small": (26, 37, 210.0, 40.0),
     "full": (118, 349, 940.0, 30.0),
+    "mass": (200, 1600, 1700.0, 40.0),
     "large": (400, 1500, 3000.0, 20.0),
     "tiny": (8, 6, 65.0, 20.0),
 }
