--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -23,6 +23,7 @@
 from driftshed.net.stream import Stream, dial
 from driftshed.roster.announce import Announcer, Standing
 from driftshed.roster.jute import (
+    ANY_VERSION,
     BAD_VERSION,
     EXPIRED,
     NO_NODE,
@@ -270,6 +271,11 @@
         if self.say_due is None:
             self.say_due = self.loop.after(SAY_EVERY, self._say)
 
+    def fence_out(self, name: str) -> None:
+        """Takes an epoch of another supervisor's name: a start of it that is not there, but may only be stopped, finds
+        out when it wakes and is silent from then on. A new start takes the next."""
+        self._write(SetData(f"{self.root}/members-epochs/{name}", b"", ANY_VERSION), lambda error, result: None)
+
     def _say(self) -> None:
         self.say_due = None
         if self.chair.standing is Standing.LISTED:
--- a/driftshed/core/channel.py
+++ b/driftshed/core/channel.py
@@ -42,6 +42,13 @@
         self.most_waiting = max(self.most_waiting, self.waiting)
         message.due_at = self.began + self.waiting / self.pace
 
+    def change_pace(self, lines_per_second: float, now: float) -> None:
+        """What of the first message has gone has gone; the rest, and all behind it, goes at the new pace."""
+        if self.queue and now > self.began:
+            gone = min(self.queue[0].cost, (now - self.began) * self.pace)
+            self.began = now - gone / lines_per_second
+        self.pace = lines_per_second
+
     def next_at(self) -> float | None:
         """When the next message has left; None while nothing waits."""
         return self.began + self.queue[0].cost / self.pace if self.queue else None
--- a/driftshed/core/hub.py
+++ b/driftshed/core/hub.py
@@ -67,6 +67,12 @@
         self.on_applied: Callable[[Message, float], object] | None = None  # for measurements
         self._forget_orders()
 
+    def switch(self, facts: face.StartFacts, now: float) -> None:
+        """Goes by other facts; what waits in the channel goes at the new pace from now on."""
+        self.head = facts.lines_per_message
+        self.most_records = KEPT_STRANGERS * max(64, facts.proxies)
+        self.channel.change_pace(facts.lines_per_second, now)
+
     def _forget_orders(self) -> None:
         self.tables: dict[int, dict[str, Line]] = {}
         self.levels: dict[tuple[int, int], Level] = {}
--- a/driftshed/core/instance.py
+++ b/driftshed/core/instance.py
@@ -4,9 +4,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from copy import deepcopy
 
 from driftshed import interface as face
 from driftshed.brain import Brain
+from driftshed.core.carrying import CannotCarry, carried
 from driftshed.core.hosting import Hosted
 from driftshed.core.hub import Hub, Record, Refused
 from driftshed.core.messages import BadName, Join, Report, RosterNews, server_id, server_name
@@ -33,6 +35,11 @@
         self.on_answered: Callable[[str], object] | None = None  # of servers that reports met giving good answers
         # What a zone's proxies met at a server: now, zone, server, tries, errored, mean latency of the good.
         self.on_met: Callable[[float, int, face.Server, int, int, float | None], object] | None = None
+        # The version of the policy that its orders rest on, 0 without one; and whether tables may change but for what
+        # the rules demand.
+        self.policy, self.holds_still = 0, False
+        self.held_back: list = []  # orders given meanwhile
+        self.on_switch: Callable[[float], object] = lambda now: None
         # The list as the module hears it.
         self.overlay: Callable[[face.Listing], face.Listing] = lambda listing: listing
 
@@ -110,9 +117,54 @@
         if self.sums_at <= now:
             self.sums_at = max(self.sums_at + self.facts.report_period, now)
             self.news += self.sums.take(now, self.facts.report_period)
-        self.hub.apply(self.hear(now), now)
+        self.hub.apply(self._let_through(self.hear(now)), now)
         return self.hub.release(now)
 
+    def _let_through(self, orders: list) -> list:
+        """All orders, or while tables hold still those alone that end lines: of draining and gone servers. The rest
+        goes out in its order once tables may change again; the module goes on as if it were still under way."""
+        if not self.holds_still:
+            orders, self.held_back = self.held_back + orders, []
+            return orders
+        ends = [order for order in orders if isinstance(order, face.SetLine) and not order.weight]
+        ended = {(order.table, order.server) for order in ends}
+        self.held_back = [
+            order for order in self.held_back + orders
+            if not (isinstance(order, face.SetLine) and (order.table, order.server) in ended)
+        ]  # fmt: skip
+        return ends
+
+    def hold_still(self, on: bool) -> None:
+        """Begins or ends the time in which tables change for the rules' sake alone."""
+        self.holds_still = on
+
+    def check_switch(self, facts: face.StartFacts) -> str:
+        """Why this instance could not go by these facts, or "". The module is asked as it stands, in a copy."""
+        try:
+            trial = deepcopy(carried(self.brain, self.facts, facts, self.make))
+            orders = trial.handle(self.brain.now, [])
+        except CannotCarry as error:
+            return str(error)
+        except Exception as error:  # a policy that the module cannot bear is refused, whatever it raises
+            return f"the module raises under it: {type(error).__name__}: {error}"
+        if self.hub.channel.waiting > facts.queue_cap:
+            return f"{self.hub.channel.waiting:.0f} lines wait in the channel, and {facts.queue_cap:g} would be allowed"
+        ends = [order for order in orders if isinstance(order, face.SetLine) and not order.weight]
+        ended = {(order.table, order.server) for order in ends}
+        for table, users in self.hub.users.items():
+            lines = self.hub.tables.get(table, {})
+            if users and lines and all((table, server_id(name)) in ended for name in lines):
+                return f"{len(users)} proxies on table {table} would be left without a line"
+        return ""
+
+    def switch(self, facts: face.StartFacts, policy: int, now: float) -> None:
+        """Goes by other facts from now on, with all that was learnt; call it between two turns."""
+        self.brain = carried(self.brain, self.facts, facts, self.make)
+        self.facts, self.policy = facts, policy
+        self.hub.switch(facts, now)
+        self.sums.rate = facts.report_lines_per_second
+        self.on_switch(now)
+
     def note(self, text: str, now: float) -> None:
         super().note(text, now)
         first, _, rest = text.partition(",")
@@ -123,6 +175,7 @@
         self.why[server] = now, f"{first.split()[0]},{rest}"
 
     def forget_orders(self) -> None:
+        self.held_back = []
         self.hub.restart()
 
     def what_stands(self) -> list:
--- a/driftshed/core/messages.py
+++ b/driftshed/core/messages.py
@@ -144,6 +144,7 @@
     stood: list[tuple[float, float, float]] = []
     # Where else a proxy may join, as `JoinAnswer` says it: told once it has changed.
     supervisors: list[str] = []
+    policy: int = 0  # the version of the policy that the orders rest on; 0: of none
 
 
 # ---- requests -------------------------------------------------------------------------------------------------
@@ -167,6 +168,7 @@
     wait_most: float
     report_period: float
     supervisors: list[str] = []  # where else a proxy may join: "address:port" of the living ones
+    policy: int = 0  # as in `Changes`
 
 
 class ServerReport(Struct, forbid_unknown_fields=True):
--- a/driftshed/proxy/follow.py
+++ b/driftshed/proxy/follow.py
@@ -156,6 +156,11 @@
             self.log("turned_down", level="error", why=f"{why}: give both the same --operation flags, in one order")
             self._again("its operations are others")
             return
+        if joined.policy < self.tables.policy:
+            self.log("turned_down", level="warning", why=f"it goes by policy {joined.policy}; "
+                     f"{self.tables.policy} was heeded")  # fmt: skip
+            self._again("its policy is older", elsewhere=True)
+            return
         if joined.run != self.tables.run:
             self.tables.run, self.tables.version = joined.run, joined.version
         self._learn(joined.supervisors)
@@ -196,6 +201,8 @@
             changes = CHANGES.decode(answer.body)
             if changes.version != self.tables.version or changes.changes:
                 self.tables.take(changes, self.loop.now)
+            self.tables.check_policy(changes.policy)
+            self.tables.policy = changes.policy
         except (msgspec.DecodeError, TurnedDown) as error:
             # Guards against a table that cannot be: the last good one is held, and the whole asked for anew.
             self.turned_down += 1
--- a/driftshed/proxy/tables.py
+++ b/driftshed/proxy/tables.py
@@ -26,6 +26,7 @@
         self.held: dict[tuple, Change] = {}
         self.run: str | None = None
         self.version = 0
+        self.policy = 0  # the newest version of a policy whose orders were heeded
         self.gates = [Gate(form, random) for _ in range(operations)]
         self.standing = standing
         self.weights: dict[int | None, Weights] = {}
@@ -39,6 +40,7 @@
         holds what cannot be."""
         if changes.run != self.run or (changes.since != self.version and not changes.whole):
             raise TurnedDown(f"changes of {changes.run} from {changes.since}; held is {self.run} {self.version}")
+        self.check_policy(changes.policy)
         if changes.version < changes.since:
             raise TurnedDown(f"changes from version {changes.since} back to {changes.version}")
         for change in changes.changes:
@@ -50,9 +52,14 @@
             if key[0] == "use" and not any(k[0] == "line" and k[1] == change.table for k in held):
                 if any(k[0] == "line" for k in before) and changes.whole:
                     raise TurnedDown(f"operation {key[1]} would be left without a line by a whole set")
-        self.held, self.version = held, changes.version
+        self.held, self.version, self.policy = held, changes.version, changes.policy
         self._follow(before, changes, now)
 
+    def check_policy(self, policy: int) -> None:
+        """TurnedDown where orders rest on an older policy than one that was heeded: it is over at most supervisors."""
+        if policy < self.policy:
+            raise TurnedDown(f"orders of policy {policy}; those of {self.policy} were heeded")
+
     def _check(self, change: Change) -> None:
         if isinstance(change, Line):
             if not math.isfinite(change.weight) or change.weight < 0:
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -74,17 +74,17 @@
     def hear_overlaid(self, listing: face.Listing) -> None:
         """What is laid over the list has changed."""
         self.instance.news.append(listing)
-        self._soon()
+        self.soon()
 
     def hear_roster(self, news: RosterNews) -> None:
         """News of the list, from whoever tells it. Refused: as the instance has it."""
         self.instance.hear_roster(news)
         self.log("roster", version=news.version, whole=news.whole, servers=len(news.servers))
-        self._soon()
+        self.soon()
 
     # ---- turns ------------------------------------------------------------------------------------------------
 
-    def _soon(self) -> None:
+    def soon(self) -> None:
         """A turn within the tick, so that what comes in together is heard together."""
         if not self.turn_due:
             self.turn_due = True
@@ -198,10 +198,10 @@
         self._await_poll(poll)
         self.log("joined", proxy=proxy, zone=join.zone, version=record.acked, resumed=join.run == self.instance.hub.run,
                  replaced=replaced)  # fmt: skip
-        self._soon()
+        self.soon()
         answer = JoinAnswer(
             self.instance.hub.run, record.stream, record.acked, list(self.instance.operations), self.wait_most,
-            self.instance.facts.report_period, poll.living,
+            self.instance.facts.report_period, poll.living, self.instance.policy,
         )  # fmt: skip
         request.answer(200, encode(answer))
 
@@ -237,7 +237,7 @@
         self._listen(poll, request.connection)
         poll.request = request
         if self.instance.news:
-            self._soon()
+            self.soon()
         body = self.instance.hub.news(record, self.loop.clock())
         if body is not None:
             self._tell(poll, body)
@@ -251,10 +251,11 @@
         """Guards against proxies that joined before this supervisor knew the others: they would all dial the same next
         one when it goes."""
         living = self.living()
-        if not living or living == poll.living:
-            return body
-        poll.living = living
-        return body[:-1] + b',"supervisors":' + encode(living) + b"}"
+        if living and living != poll.living:
+            poll.living = living
+            body = body[:-1] + b',"supervisors":' + encode(living) + b"}"
+        # Guards against orders of an older policy: a proxy that has heeded a newer one turns them down by this.
+        return body[:-1] + b',"policy":%d}' % self.instance.policy if self.instance.policy else body
 
     def _answer_poll(self, poll: Poll) -> None:
         body = self.instance.hub.news(poll.record, self.loop.clock())
@@ -304,7 +305,7 @@
         self._end_poll(poll, 409, f"the stream has ended: {reason}")
         self.instance.leave(proxy)
         self.log("left", proxy=proxy, reason=reason)
-        self._soon()
+        self.soon()
 
     # ---- views ------------------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/policies.py
@@ -0,0 +1,163 @@
+"""A fleet of whole supervisors with policies, proxies and a store in virtual time; what must hold of any history."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from pathlib import Path
+
+from driftshed import interface as face
+from driftshed.coordination.taking_part import take_part
+from driftshed.core.hub import Refused
+from driftshed.core.instance import Instance
+from driftshed.core.messages import ListedServer, RosterNews
+from driftshed.lab.virtual import Seat
+from driftshed.policy import document as policies
+from driftshed.policy.change import TOPIC, Change, everywhere_within, read_change
+from driftshed.policy.keep import Keep
+from driftshed.policy.part import Asked, PolicyPart
+from driftshed.proxy.whole import Place, Proxy
+from driftshed.supervisor.service import Service
+from tests.fleets import ROOT, STORE, TIMEOUT, DriftingSeat, Fleet
+
+TEXT = """
+ahead = 0.3
+despite_after = 5
+[[operations]]
+name = "lookup"
+objective = 0.5
+timeout = 1.5
+value = 1
+effect = "idempotent"
+[settings]
+zones = "east,west"
+proxies = 4
+drain-grace = {grace}
+lines-per-second = 2000
+"""
+FACTS = policies.facts(policies.read(TEXT.format(grace=2.5)))
+SLACK = 0.2  # seconds: ways of a few milliseconds, a look, a turn
+
+
+class PolicyFleet(Fleet):
+    """`folder`: of what supervisors keep. `orders`: time, supervisor and policy of all but those that end lines."""
+
+    def __init__(self, folder: Path, names=("a", "b", "c"), seed: int = 1, proxies: int = 4, facts=FACTS) -> None:
+        self.folder, self.facts = folder, facts
+        self.parts: dict[str, PolicyPart] = {}
+        self.orders: list[tuple[float, str, int]] = []
+        self.heeded: dict[int, list[tuple[float, int]]] = defaultdict(list)
+        self.logs: list[tuple[float, str, str, dict]] = []
+        self.hosts = {name: f"127.0.1.{k + 1}" for k, name in enumerate(names)}
+        super().__init__(names, seed)
+        self.proxies = [self._proxy(number) for number in range(proxies)]
+        self._look()
+
+    def start(self, name: str) -> None:
+        host, loop = self.hosts[name], self.loop
+        self.network.zones[host] = host
+        self.starts += 1
+        seat = DriftingSeat(loop, name, 1 + self.drift / 2 * self.random.uniform(-1, 1))
+        log = lambda event, **fields: self.logs.append((loop.now, name, event, fields))  # noqa: E731
+        instance = Instance(self.facts, self.starts, f"run{self.starts}", seat.clock(), 0.0)
+        service = Service(seat, instance, (host, 7000), log, silence=2.0, transport=self.network.transport(host))
+        agent = take_part(seat, service, [STORE], ROOT, name, ",".join(self.names), TIMEOUT, log,
+                          seed=self.random.getrandbits(30), dial=self.network.dial(host))  # fmt: skip
+        keep = Keep(self.folder / name, "fleet", name)
+        self.parts[name] = PolicyPart(seat, service, agent, keep, log, unix=lambda: loop.now)
+        agent.host, agent.seat = host, seat
+        before = agent.on_record
+        agent.on_record = lambda record: (before(record), self.saw[name, id(agent), record.topic].append(record))
+        self.agents[name], self.seats[name] = agent, seat
+        self.all.append(agent)
+        service.hear_roster(RosterNews(1, True, [self._server(k) for k in range(6)]))
+        apply = instance.hub.apply
+
+        def noted(orders: list, now: float) -> None:
+            if any(isinstance(order, face.SetLine) and order.weight for order in orders):
+                self.orders.append((loop.now, name, instance.policy))
+            apply(orders, now)
+
+        instance.hub.apply = noted
+        version = [1]
+
+        def churn() -> None:  # so that there is always something to order
+            version[0] += 1
+            state = "ready" if version[0] % 2 else "gone"
+            service.hear_roster(RosterNews(version[0], False, [self._server(9, state, 1e5 + version[0])]))
+            seat.after(0.4, churn)
+
+        seat.after(0.4, churn)
+
+    @staticmethod
+    def _server(number: int, state: str = "ready", started: float | None = None) -> ListedServer:
+        return ListedServer(f"127.0.3.{number + 1}:8000", ("east", "west")[number % 2], "standard", state, started)
+
+    def _proxy(self, number: int) -> Proxy:
+        host = f"127.0.2.{number + 1}"
+        self.network.zones[host] = host
+        order = [*self.names[number % len(self.names):], *self.names[: number % len(self.names)]]
+        place = Place(number, ("east", "west")[number % 2], 5.0, (host, 8080),
+                      [(self.hosts[name], 7000) for name in order], ["127.0.3.1:8000"], host, 2.0)  # fmt: skip
+        return Proxy(Seat(self.loop, f"proxy {number}"), place, self.facts, number, lambda event, **fields: None,
+                     f"{number}", transport=self.network.transport(host))  # fmt: skip
+
+    def _look(self) -> None:
+        for number, proxy in enumerate(self.proxies):
+            rows, policy = self.heeded[number], proxy.tables.policy
+            if not rows or rows[-1][1] != policy:
+                rows.append((self.loop.now, policy))
+        self.network.loop_seat.after(0.02, self._look)
+
+    def kill(self, name: str) -> None:
+        super().kill(name)
+        self.network.fall((self.hosts[name], 7000))
+        self.parts[name].keep.close()
+
+    def ask(self, name: str, grace: float, **more) -> dict | str:
+        """Proposes a document; why not, where it is refused."""
+        try:
+            return self.parts[name].ask(Asked("propose", "somebody", TEXT.format(grace=grace), **more))
+        except Refused as error:
+            return str(error)
+
+    def runs(self) -> dict[str, int]:
+        return {name: part.course.version() for name, part in self.parts.items()}
+
+    def settled(self) -> dict[int, Change]:
+        """By version, as the store's log has it."""
+        found = {}
+        for record in self.history():
+            if record.topic == TOPIC and record.standing is not None:
+                change, _ = read_change(record.standing.body)
+                found.setdefault(change.version, change)
+        return found
+
+    def settled_at(self) -> dict[int, float]:
+        """By version: when the first supervisor read that it is settled, a way later than it was."""
+        versions = {record.epoch: read_change(record.standing.body)[0].version for record in self.history()
+                    if record.topic == TOPIC and record.state == "settled"}  # fmt: skip
+        found: dict[int, float] = {}
+        for at, _, event, fields in self.logs:
+            if event == "record" and fields["topic"] == TOPIC and fields["epoch"] in versions:
+                if fields["state"] == "settled":
+                    found.setdefault(versions[fields["epoch"]], at)
+        return found
+
+
+def check_policies(fleet: PolicyFleet) -> None:
+    """AssertionError names what does not hold."""
+    versions = [read_change(record.standing.body)[0].version for record in fleet.history()
+                if record.topic == TOPIC and record.state == "settled"]  # fmt: skip
+    assert versions == sorted(set(versions)), f"versions were settled as {versions}"
+    at = fleet.settled_at()
+    for number, rows in fleet.heeded.items():
+        for (_, one), (later, two) in zip(rows, rows[1:], strict=False):
+            assert two >= one, f"proxy {number} went back from policy {one} to {two} at {later:.2f} s"
+        for _, policy in rows:
+            assert policy == 0 or policy in versions, f"proxy {number} heeds policy {policy} that was never settled"
+    bound = everywhere_within(TIMEOUT, 0.3, fleet.drift) + SLACK
+    for when, name, policy in fleet.orders:
+        early = policy and when < at.get(policy, 0.0) - SLACK
+        assert not early, f"{name} ordered by policy {policy} before it was settled"
+        newer = [each for each in at if each > policy and when > at[each] + bound]
+        assert not newer, f"{name} ordered by policy {policy} at {when:.2f} s, past {newer[0]} of {at[newer[0]]:.2f} s"
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,372 @@
+"""Changes of policy: the document, the file, the instance that goes on, and fleets in virtual time with faults."""
+
+import sqlite3
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from driftshed import interface as face
+from driftshed.brain import Brain
+from driftshed.core.carrying import CannotCarry, carried
+from driftshed.policy import document as policies
+from driftshed.policy.document import BadDocument, Document, Operation
+from driftshed.policy.keep import BadKeep, Keep, Kept
+from driftshed.policy.part import Asked
+from tests.fleets import check as check_records
+from tests.policies import PolicyFleet, check_policies
+
+TEXT = """
+ahead = 0.5
+
+[[operations]]
+name = "lookup"
+objective = 0.5
+timeout = 1.5
+value = 1
+effect = "idempotent"
+
+[settings]
+zones = "east,west,north"
+drain-grace = 2.5
+queue-cap = 1500
+
+[regions]
+coast = ["east", "west"]
+"""
+
+
+@pytest.mark.parametrize("old, new, said", [
+    ("drain-grace", "drain-gracee", "line 13: settings.drain-gracee: no setting of a policy; there is drain-grace"),
+    ("value = 1", "value = 0", "line 8: Expected `float` > 0.0"),
+    ("ahead", "ahaed", "line 2: Object contains unknown field `ahaed`; take it out"),
+    ("ahead = 0.5", "form = 7", "line 2: form 7 is newer than this build reads (1): update"),
+    ('"west"]', '"south"]', "'south' is none of east, west, north"),
+    ("timeout = 1.5", "timeout = 0.2", "timeout must be above objective"),
+    ("queue-cap = 1500", "queue-cap = 2", "queue-cap"), ("[settings]", "[settings", "no TOML"),
+    ("[regions]", "[evacuation]\npaec = 2\n[regions]", "'paec' is none of"),
+])  # fmt: skip
+def test_a_document_that_cannot_be_says_where_and_what_to_do(old, new, said):
+    with pytest.raises(BadDocument, match="(?s)"):
+        policies.read(TEXT.replace(old, new))
+    with pytest.raises(BadDocument) as error:
+        policies.read(TEXT.replace(old, new))
+    assert said in str(error.value)
+
+
+def test_what_can_never_be_met_is_said():
+    assert policies.never_met(policies.read(TEXT)) == []
+    slow = policies.read(TEXT.replace("queue-cap = 1500", "queue-cap = 1500\nlines-per-second = 300"))
+    assert "under the channel's worst time of 5.52 s" in policies.never_met(slow)[0]
+    small = policies.read(TEXT.replace("queue-cap = 1500", "queue-cap = 30\nstanding-lines = 40"))
+    assert any("under one whole table" in text for text in policies.never_met(small))
+
+
+def test_what_a_running_fleet_may_not_be_asked():
+    old = policies.read(TEXT)
+    changed = policies.read(TEXT.replace("2.5", "2.7").replace("objective = 0.5", "objective = 0.6"))
+    assert policies.barred(old, changed) == []
+    assert "zones" in policies.barred(old, policies.read(TEXT.replace("east,west,north", "east,west,north,south")))[0]
+    post = '[[operations]]\nname = "post"\nobjective = 1\ntimeout = 2\nvalue = 3\n\n[settings]'
+    second = TEXT.replace("[settings]", post)
+    both = policies.read(second)
+    assert "in use" in policies.barred(both, old)[0]
+    retired = policies.read(second.replace('name = "post"', 'name = "post"\nretired = true'))
+    assert policies.barred(both, retired) == [] == policies.barred(retired, old)
+
+
+FIGURES = st.floats(0.01, 4e4, allow_nan=False).map(lambda value: round(value, 3))
+DOCUMENTS = st.builds(
+    lambda operations, grace, ahead, work: Document(
+        operations=[Operation(name=f"o{k}", objective=a, timeout=a + b, value=c)
+                    for k, (a, b, c) in enumerate(operations)],
+        settings={"drain-grace": grace}, ahead=ahead, work=work,
+    ),
+    st.lists(st.tuples(FIGURES, FIGURES, FIGURES), min_size=1, max_size=4),
+    st.floats(0.5, 9).map(lambda v: round(v, 2)),
+    st.sampled_from([0, 1, 2.0, 0.25]), st.dictionaries(st.sampled_from(["zone", "kind"]), FIGURES),
+)  # fmt: skip
+
+
+@settings(max_examples=100, deadline=None)
+@given(DOCUMENTS, DOCUMENTS)
+def test_the_canonical_form_is_one_and_differences_add_up(one, other):
+    text = policies.canonical(one)
+    again = policies.parse(text)
+    assert policies.canonical(again) == text and policies.digest(again) == policies.digest(one)
+    assert (policies.digest(one) == policies.digest(other)) == (policies.difference(one, other) == [])
+    flat = policies.flat(one)
+    for path, before, after in policies.difference(one, other):
+        assert flat.get(path) == before
+        flat[path] = after
+        if after is None:
+            del flat[path]
+    assert flat == {path: value for path, value in policies.flat(other).items() if value is not None or path in flat}
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.text(max_size=200) | st.integers(0, len(TEXT)).flatmap(
+    lambda at: st.text(max_size=8).map(lambda part: TEXT[:at] + part + TEXT[at + len(part):])))
+def test_the_reader_takes_or_refuses_whatever_comes(text):
+    for reader in (policies.read, policies.parse):
+        try:
+            assert isinstance(reader(text), Document)
+        except BadDocument as error:
+            assert str(error)
+
+
+# ---- what is kept ------------------------------------------------------------------------------------------------
+
+
+def kept(version: int, state: str = "settled", epoch: int = 0) -> Kept:
+    return Kept(version, epoch or version, state, f"d{version}", "{}", "somebody", "", 1.0, 0.5, "s0,s1")
+
+
+def test_what_was_kept_is_there_after_a_start_and_only_the_newest_stay(tmp_path):
+    keep = Keep(tmp_path, "f", "s0")
+    for version in range(1, 260):
+        keep.put(kept(version))
+    keep.put(kept(260, "assented"))
+    keep.close()
+    again = Keep(tmp_path, "f", "s0")
+    assert again.settled().version == 259 and [each.version for each in again.assented()] == [260]
+    assert len(again.history()) <= 201 and again.version(3) is None and again.version(200) == kept(200)
+    again.put(kept(260, "void"))
+    assert not again.assented() and again.settled().version == 259
+
+
+def test_files_that_cannot_be_used_say_why(tmp_path):
+    Keep(tmp_path / "a", "f", "s0").close()
+    for fleet, name in (("g", "s0"), ("f", "s1")):
+        with pytest.raises(BadKeep, match="of a fleet|not of"):
+            Keep(tmp_path / "a", fleet, name)
+    base = sqlite3.connect(tmp_path / "a" / "policy.db")
+    base.execute("UPDATE meta SET value = '9' WHERE key = 'form'")
+    base.commit()
+    base.close()
+    with pytest.raises(BadKeep, match="update driftshed"):
+        Keep(tmp_path / "a", "f", "s0")
+    (tmp_path / "b").mkdir()
+    (tmp_path / "b" / "policy.db").write_bytes(b"no database " * 500)
+    with pytest.raises(BadKeep, match="move the file away"):
+        Keep(tmp_path / "b", "f", "s0")
+    (tmp_path / "c").write_text("a file")
+    with pytest.raises(BadKeep, match="can be written"):
+        Keep(tmp_path / "c", "f", "s0")
+
+
+def test_a_disk_that_takes_nothing_leaves_what_was_there(tmp_path):
+    keep = Keep(tmp_path, "f", "s0")
+    keep.put(kept(1))
+    pages = keep.base.execute("PRAGMA page_count").fetchone()[0]
+    keep.base.execute(f"PRAGMA max_page_count = {pages}")
+    with pytest.raises(BadKeep, match="full"):
+        for version in range(2, 50):
+            keep.put(kept(version)._replace(text="x" * 4000))
+    newest = keep.settled().version
+    keep.base.execute("PRAGMA max_page_count = 100000")
+    keep.put(kept(60))
+    assert newest >= 1 and keep.settled().version == 60
+    keep.base.execute("PRAGMA query_only = 1")
+    with pytest.raises(BadKeep, match="readonly"):
+        keep.put(kept(61))
+    assert keep.settled().version == 60
+
+
+# ---- an instance that goes on ------------------------------------------------------------------------------------
+
+FACTS = policies.facts(policies.read(TEXT), 0, 3)
+
+
+def some_events(random: Random, now: float, listed: bool) -> list:
+    events: list = []
+    if not listed:
+        rows = tuple(face.Entry(bytes([127, 0, 0, k, 31, 64]), k % 3, 0, None, 0, face.READY, 1.0)
+                     for k in range(1, 13))  # fmt: skip
+        events.append(face.Listing(1, face.FULL, rows))
+        events += [face.Joined(k % 3, True, k, 5.0) for k in range(9)]
+    for _ in range(random.randrange(6)):
+        server = bytes([127, 0, 0, random.randrange(1, 13), 31, 64])
+        tries = random.randrange(1, 9)
+        events.append(heard(random, server, tries))
+    return events
+
+
+def heard(random: Random, server: bytes, tries: int) -> face.Heard:
+    fields = dict.fromkeys(face.Heard._fields) | {
+        "zone": random.randrange(3), "server": server, "tries": tries, "errored": random.randrange(2) * tries // 2,
+        "latency": random.uniform(0.05, 0.4),
+    }  # fmt: skip
+    return face.Heard(**fields)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_switch_to_the_same_facts_changes_no_order_ever(seed):
+    one, other, random = Brain(FACTS, seed, 0.0), Brain(FACTS, seed, 0.0), Random(seed)
+    for step in range(400):
+        now = step * 0.1
+        events = some_events(random, now, step > 0)
+        if step % 37 == 5:
+            other = carried(other, FACTS, FACTS)
+        assert one.handle(now, events) == other.handle(now, events), step
+
+
+def test_a_switch_takes_what_follows_from_the_facts_and_keeps_what_was_learnt():
+    brain, random = Brain(FACTS, 1, 0.0), Random(1)
+    for step in range(200):
+        brain.handle(step * 0.1, some_events(random, step * 0.1, step > 0))
+    slower = FACTS.operations[0]._replace(latency_objective=0.7)
+    new = FACTS._replace(queue_cap=3000.0, drain_grace=4.0, operations=(slower,))
+    went_on, fresh = carried(brain, FACTS, new), Brain(new, 1, 0.0)
+    assert (went_on.cap, went_on.round_lines, went_on.objectives) == (fresh.cap, fresh.round_lines, fresh.objectives)
+    assert went_on.factor is brain.factor and went_on.line is brain.line and went_on.line is went_on.array[12]
+    assert went_on.random is brain.random and went_on.floor == brain.floor and went_on.patience == fresh.patience
+    for bad in (FACTS._replace(zones=("east",)), FACTS._replace(report_period=0.7),
+                FACTS._replace(operations=FACTS.operations * 2)):  # fmt: skip
+        with pytest.raises(CannotCarry, match="holds from a start"):
+            carried(brain, FACTS, bad)
+
+
+# ---- fleets in virtual time --------------------------------------------------------------------------------------
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    return PolicyFleet(tmp_path)
+
+
+def test_a_change_takes_hold_everywhere_at_one_moment(fleet):
+    fleet.up()
+    fleet.run(3)
+    assert {proxy.tables.policy for proxy in fleet.proxies} == {0}
+    told = fleet.ask("b", 2.8)
+    assert told["version"] == 1 and ("settings.drain-grace", None, 2.8) in told["difference"]
+    fleet.until(lambda: set(fleet.runs().values()) == {1}, 5)
+    at = [at for at, _, event, _ in fleet.logs if event == "policy"]
+    assert len(at) == 3 and max(at) - min(at) < 0.1
+    fleet.until(lambda: {proxy.tables.policy for proxy in fleet.proxies} == {1}, 5)
+    assert {part.instance.facts.drain_grace for part in fleet.parts.values()} == {2.8}
+    assert "stands" in fleet.ask("a", 2.8)
+    assert fleet.ask("a", 3.0)["version"] == 2
+    fleet.until(lambda: set(fleet.runs().values()) == {2}, 5)
+    view = fleet.parts["c"].view()
+    assert [row["version"] for row in view["history"]] == [2, 1] and view["members"]["a"][0] == "living"
+    assert fleet.parts["c"].ask(Asked("revert", "somebody", version=1))["version"] == 3
+    fleet.until(lambda: set(fleet.runs().values()) == {3}, 5)
+    assert fleet.parts["a"].instance.facts.drain_grace == 2.8
+    check_policies(fleet)
+
+
+def test_an_objection_or_a_silent_one_means_nowhere(fleet):
+    fleet.up()
+    fleet.parts["b"].instance.check_switch = lambda facts: "no room"
+    assert fleet.ask("a", 2.6)["version"] == 1
+    fleet.until(lambda: fleet.parts["a"].mine.state == "void", 8)
+    assert "b: no room" in fleet.parts["a"].mine.why
+    del fleet.parts["b"].instance.check_switch
+    fleet.kill("c")
+    fleet.run(3)
+    fleet.ask("a", 2.6, patience=2.0)
+    fleet.until(lambda: fleet.parts["a"].mine.state == "void", 12)
+    assert "c" in fleet.parts["a"].mine.why and set(fleet.runs().values()) == {0}
+    fleet.run(1)
+    assert not fleet.parts["a"].assented and not fleet.parts["b"].assented  # everyone forgets it
+    assert not fleet.parts["a"].instance.holds_still
+    check_policies(fleet)
+
+
+def test_one_that_is_gone_is_named_fenced_and_learns_what_stands_before_it_takes_proxies(fleet):
+    fleet.up()
+    fleet.ask("a", 2.6)
+    fleet.until(lambda: set(fleet.runs().values()) == {1}, 5)
+    fleet.pause("c", 14.0)
+    fleet.run(3)
+    assert fleet.ask("a", 2.7, despite=["c"])["version"] == 2
+    fleet.until(lambda: fleet.parts["a"].mine.state == "void", 8)
+    assert "may go on by itself" in fleet.parts["a"].mine.why  # not away for long enough
+    fleet.run(4)
+    assert fleet.ask("a", 2.7, despite=["c"])["version"] == 2
+    fleet.until(lambda: fleet.runs()["b"] == 2, 6)
+    fleet.run(12)  # it wakes, and finds out that it is over
+    assert fleet.agents["c"].chair.standing.value == "fenced" and fleet.runs()["c"] == 1
+    fleet.kill("c")
+    fleet.start("c")
+    fleet.until(lambda: fleet.runs()["c"] == 2, 8)
+    assert "not another supervisor" in fleet.ask("a", 2.9, despite=["a"])
+    check_policies(fleet)
+
+
+def test_a_store_that_was_restored_from_an_old_copy_takes_nobody_back(fleet):
+    fleet.up()
+    fleet.ask("a", 2.6)
+    fleet.until(lambda: set(fleet.runs().values()) == {1}, 5)
+    old = list(fleet.rows)
+    fleet.ask("a", 2.7)
+    fleet.until(lambda: set(fleet.runs().values()) == {2}, 5)
+    for name in fleet.names:
+        fleet.kill(name)
+    fleet.network.end(fleet.store_seat)
+    fleet.rows = old
+    fleet._serve()
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.run(8)
+    assert set(fleet.runs().values()) == {0} and all(part.instance.holds_still for part in fleet.parts.values())
+    assert all("2 was settled: restore it" in part.cannot for part in fleet.parts.values())
+
+
+def test_a_policy_under_which_the_module_raises_is_taken_back_by_all(fleet):
+    fleet.up()
+    fleet.ask("a", 2.6)
+    fleet.until(lambda: set(fleet.runs().values()) == {1}, 5)
+    fleet.ask("a", 3.3)
+    fleet.until(lambda: fleet.runs()["b"] == 2, 5)
+    brain = fleet.parts["b"].instance.brain
+    brain.handle = lambda now, events: 1 / 0
+    fleet.until(lambda: set(fleet.runs().values()) == {3}, 10)
+    assert {part.instance.facts.drain_grace for part in fleet.parts.values()} == {2.6}
+    assert fleet.parts["c"].standing().undoes == 2
+    check_policies(fleet)
+
+
+def test_a_policy_that_cannot_be_kept_is_objected_to(fleet):
+    fleet.up()
+    fleet.parts["c"].keep.base.execute("PRAGMA query_only = 1")
+    fleet.ask("a", 2.6)
+    fleet.until(lambda: fleet.parts["a"].mine.state == "void", 8)
+    assert "cannot be kept here" in fleet.parts["a"].mine.why and set(fleet.runs().values()) == {0}
+
+
+def drawn_history(folder, seed: int, seconds: float = 24.0) -> PolicyFleet:
+    """Changes, and faults between supervisors and store, drawn by a seed."""
+    random = Random(f"policies {seed}")
+    fleet = PolicyFleet(folder, seed=seed, names=("a", "b", "c")[: random.choice([2, 3, 3])])
+    fleet.up()
+    end, dead = fleet.loop.now + seconds, set()
+    while fleet.loop.now < end:
+        fleet.run(random.uniform(0.2, 1.5))
+        name, kind = random.choice(fleet.names), random.randrange(9)
+        if kind < 4 and name not in dead:
+            away = [each for each in fleet.names if each in dead and random.random() < 0.5]
+            fleet.ask(name, round(random.uniform(2.2, 4.0), 2), patience=random.choice([1.0, 3.0]), despite=away)
+        elif kind == 4 and name not in dead:
+            fleet.kill(name)
+            dead.add(name)
+        elif kind == 5 and name in dead:
+            fleet.start(name)
+            dead.discard(name)
+        elif kind == 6 and name not in dead:
+            fleet.pause(name, random.uniform(0.2, 4.0))
+        elif kind == 7 and name not in dead:
+            fleet.cut(name, random.uniform(0.2, 7.0), random.random() < 0.7, random.random() < 0.7)
+        elif kind == 8 and random.random() < 0.5:
+            fleet.lose_answers(name) if name not in dead else fleet.store_down(random.uniform(0.2, 2.0))
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_drawn_histories_hold(tmp_path, seed):
+    fleet = drawn_history(tmp_path, seed)
+    check_policies(fleet)
+    check_records(fleet)
