A policy takes hold at every supervisor or none: record, moment, hold past the lease, stamp, taking back

Tested in virtual time with whole supervisors, proxies and a store: 12 drawn histories, despite, an old copy of the store, a full file, a module that raises. What the tests found on the way: one that wakes ordered before it looked (the hold is asked before each order now); one that was fenced, or had a new session and had not read what stands, ordered again (its old lease counts, and fenced is for good); a timer that armed itself at a past moment. Without the hold, the stamp or the compare-and-set the checkers fail.

--- a/driftshed/core/instance.py
+++ b/driftshed/core/instance.py
@@ -35,9 +35,10 @@
         self.on_answered: Callable[[str], object] | None = None  # of servers that reports met giving good answers
         # What a zone's proxies met at a server: now, zone, server, tries, errored, mean latency of the good.
         self.on_met: Callable[[float, int, face.Server, int, int, float | None], object] | None = None
-        # The version of the policy that its orders rest on, 0 without one; and whether tables may change but for what
-        # the rules demand.
-        self.policy, self.holds_still = 0, False
+        self.policy = 0  # the version of the policy that its orders rest on, 0 without one
+        # Whether tables may change for the rules' sake alone. Asked before each order: a process that was stopped
+        # finds out before anything else.
+        self.still: Callable[[], bool] = lambda: False
         self.held_back: list = []  # orders given meanwhile
         self.on_switch: Callable[[float], object] = lambda now: None
         # The list as the module hears it.
@@ -123,7 +124,7 @@
     def _let_through(self, orders: list) -> list:
         """All orders, or while tables hold still those alone that end lines: of draining and gone servers. The rest
         goes out in its order once tables may change again; the module goes on as if it were still under way."""
-        if not self.holds_still:
+        if not self.still():
             orders, self.held_back = self.held_back + orders, []
             return orders
         ends = [order for order in orders if isinstance(order, face.SetLine) and not order.weight]
@@ -134,10 +135,6 @@
         ]  # fmt: skip
         return ends
 
-    def hold_still(self, on: bool) -> None:
-        """Begins or ends the time in which tables change for the rules' sake alone."""
-        self.holds_still = on
-
     def check_switch(self, facts: face.StartFacts) -> str:
         """Why this instance could not go by these facts, or "". The module is asked as it stands, in a copy."""
         try:
--- a/driftshed/policy/change.py
+++ b/driftshed/policy/change.py
@@ -98,10 +98,12 @@
 
 
 class Known(NamedTuple):
-    """What one supervisor knows. `doubt`: it has assented to a change whose end it has not read."""
+    """What one supervisor knows. `lease_holds`: and what stands is read whole; `lease_until`: of the last that did;
+    `doubt`: it has assented to a change whose end it has not read."""
 
     lease_holds: bool
     lease_until: float
+    fenced: bool  # another start of its name is there, or it was named to be gone
     doubt: bool
     behind: bool  # a version that it has read to be settled is not the one that it goes by yet, and cannot be
     despite_after: float
@@ -112,7 +114,7 @@
     """Whether a supervisor may order what the rules do not demand. Guards against two policies at a time: past its
     lease a supervisor that has assented may have been overtaken at any moment, and one that has not only after it was
     away for so long that others may have done without its word."""
-    if known.behind:
+    if known.behind or known.fenced:
         return False
     if known.lease_holds:
         return True
--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -31,6 +31,7 @@
 )
 from driftshed.policy.document import BadDocument, Document
 from driftshed.policy.keep import BadKeep, Keep, Kept
+from driftshed.roster.announce import Standing
 from driftshed.supervisor.service import Service
 
 LOOK_EVERY = 0.1  # seconds between looks at what may be done
@@ -63,7 +64,9 @@
         self.instance, self.course = service.instance, Course()
         self.document: Document | None = None  # that it goes by
         self.last: tuple[Change, Document] | None = None  # what it went by before
+        self.went_by: Change | None = None
         self.faults, self.undone = 0, 0
+        self.was_still, self.held_until = False, float("-inf")
         self.known = False  # whether it was ever read what stands
         self.cannot = ""  # why what stands cannot be gone by here
         self.seen: dict[int, float] = {}  # by epoch: when it was first seen here
@@ -74,6 +77,7 @@
         agent.judge = lambda record: self._word(record) if record.topic == TOPIC else before(record)
         agent.on_record = lambda record: (told(record), self._look_at(record))
         service.waits = lambda: waits() or self._waits()
+        self.instance.still = lambda: self._holds_still()
         service.views["policy"] = self.view
         service.actions["policy"] = (Asked, self.ask)
         self._turn()
@@ -98,9 +102,14 @@
         return "its tables hold still until it knows which policy stands; join another" if self._holds_still() else ""
 
     def _holds_still(self) -> bool:
+        if not self.known or (self.course.runs is None and self.course.next is not None):
+            return True  # what stands comes before the first order
         despite_after = DESPITE_AFTER if self.document is None else self.document.despite_after
-        known = Known(self.agent.holds(), self.agent.lease_until(), bool(self.assented), bool(self.cannot),
-                      despite_after, self.agent.lease.drift)  # fmt: skip
+        if holds := self.agent.holds() and self.agent.records.whole:
+            self.held_until = self.agent.lease_until()
+        fenced = self.agent.chair.standing is Standing.FENCED
+        known = Known(holds, self.held_until, fenced, bool(self.assented), bool(self.cannot), despite_after,
+                      self.agent.lease.drift)  # fmt: skip
         return not may_change_tables(known, self.loop.clock())
 
     def _look_at(self, record: agreement.Record) -> None:
@@ -138,6 +147,7 @@
                 self._cannot(f"version {change.version} stands, and this supervisor cannot go by it: {why}")
                 return
             self.course.settled(change, document, self.loop.clock(), started=bool(self.service.polls))
+            self.loop.at(self.course.next[2], self._switch)
         if self.newest is None or self.newest.epoch != standing.epoch:
             took = self.loop.clock() - self.seen.get(standing.epoch, self.loop.clock())
             names = ",".join(self.agent.roll.expected) if not change.despite else ",".join(
@@ -197,22 +207,20 @@
                     self.known, self.cannot = True, ""
         self._switch()
         still = self._holds_still()
-        if still != self.instance.holds_still:
+        if still != self.was_still:
             self.log("tables_hold_still" if still else "tables_may_change", level="warning" if still else "info")
-            self.instance.hold_still(still)
+            self.was_still = still
             self.service.soon()
         self._guard()
 
     def _switch(self) -> None:
         due = self.course.due(self.loop.clock())
         if due is None:
-            if self.course.next is not None:
-                self.loop.at(self.course.next[2], self._switch)
             return
         change, document = due
-        if self.document is not None and self.undone != change.undoes:
-            self.last = self.course_was, self.document
-        self.course_was = change
+        if self.document is not None and not change.undoes:
+            self.last = self.went_by, self.document
+        self.went_by = change
         self.instance.switch(self._facts(document), change.version, self.loop.clock())
         self.document, self.faults = document, self.instance.faults
         evacuation = getattr(self.agent, "evacuation", None)
@@ -328,7 +336,7 @@
         ahead = self.document.ahead if self.document is not None else 0.0
         mine = self.mine
         return {
-            "by": self.agent.name, "runs": self.course.version(), "holds_still": self.instance.holds_still,
+            "by": self.agent.name, "runs": self.course.version(), "holds_still": self._holds_still(),
             "cannot": self.cannot, "known": self.known, "standing": standing, "open": opened,
             "next": None if self.course.next is None else self.course.next[0].version,
             "last_proposal": None if mine is None else
