--- a/driftshed/cli.py
+++ b/driftshed/cli.py
@@ -9,6 +9,7 @@
 from driftshed.evacuation.command import zone
 from driftshed.evacuation.retrace import decided_again as zone_decided_again
 from driftshed.lab.command import lab
+from driftshed.policy.command import policy
 from driftshed.proxy.command import proxy
 from driftshed.roster.command import announce, roster
 from driftshed.supervisor.command import supervise
@@ -30,6 +31,7 @@
 main.add_command(announce)
 main.add_command(fleet)
 main.add_command(zone)
+main.add_command(policy)
 
 DECIDERS |= {"zone": zone_decided_again, "region": zone_decided_again}
 
--- a/driftshed/day/fleet.py
+++ b/driftshed/day/fleet.py
@@ -46,11 +46,11 @@
 class FleetStage:
     """`supervisors` and `proxies` are counts. `timeout`: of the supervisors' sessions; `silence`: seconds after which a
     stream without a poll has ended; `hears_within`: seconds until a proxy gives a silent supervisor up; `more`: flags
-    of supervisors."""
+    of supervisors; `policies`: they go by the fleet's policy."""
 
     def __init__(
         self, folder: Path, supervisors: int = 3, proxies: int = 6, timeout: float = 1.5, silence: float = 2.0,
-        hears_within: float = 2.0, more: tuple[str, ...] = (),
+        hears_within: float = 2.0, more: tuple[str, ...] = (), policies: bool = False,
     ) -> None:  # fmt: skip
         self.loop = Loop()
         net, self.lock = free_net(os.getpid())
@@ -73,6 +73,7 @@
                 "--operation", OPERATION, "--proxies", str(proxies), "--supervisors", str(supervisors), "--silence",
                 str(silence), "--name", name, "--expected", ",".join(self.names), "--fleet-connect",
                 f"{store[0]}:{store[1]}", "--fleet-timeout", str(timeout), *more,
+                *(("--policy-folder", str(folder / f"policy-{name}")) if policies else ()),
             ], folder / f"{name}.log")  # fmt: skip
         self.proxies = []
         for k in range(proxies):
--- a/driftshed/policy/change.py
+++ b/driftshed/policy/change.py
@@ -99,7 +99,7 @@
 
 class Known(NamedTuple):
     """What one supervisor knows. `lease_holds`: and what stands is read whole; `lease_until`: of the last that did;
-    `doubt`: it has assented to a change whose end it has not read."""
+    `doubt`: it has assented to a change whose end it has not read, or knows of one that does without its word."""
 
     lease_holds: bool
     lease_until: float
--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -101,6 +101,13 @@
             return "which policy stands is not read yet; join another, or come back soon"
         return "its tables hold still until it knows which policy stands; join another" if self._holds_still() else ""
 
+    def _doubt(self) -> bool:
+        """Whether a change may be settled unheard: we have assented to it, or it does without our word."""
+        topic = self.agent.topics.get(TOPIC)
+        record = topic.record if topic is not None else None
+        open_without = record is not None and record.state == "open" and self.agent.name not in record.needs
+        return bool(self.assented) or open_without
+
     def _holds_still(self) -> bool:
         if not self.known or (self.course.runs is None and self.course.next is not None):
             return True  # what stands comes before the first order
@@ -108,7 +115,7 @@
         if holds := self.agent.holds() and self.agent.records.whole:
             self.held_until = self.agent.lease_until()
         fenced = self.agent.chair.standing is Standing.FENCED
-        known = Known(holds, self.held_until, fenced, bool(self.assented), bool(self.cannot), despite_after,
+        known = Known(holds, self.held_until, fenced, self._doubt(), bool(self.cannot), despite_after,
                       self.agent.lease.drift)  # fmt: skip
         return not may_change_tables(known, self.loop.clock())
 
@@ -146,7 +153,7 @@
             if why:
                 self._cannot(f"version {change.version} stands, and this supervisor cannot go by it: {why}")
                 return
-            self.course.settled(change, document, self.loop.clock(), started=bool(self.service.polls))
+            self.course.settled(change, document, self.loop.clock(), started=self.known)
             self.loop.at(self.course.next[2], self._switch)
         if self.newest is None or self.newest.epoch != standing.epoch:
             took = self.loop.clock() - self.seen.get(standing.epoch, self.loop.clock())
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -51,13 +51,14 @@
 @option("leave-zones", is_flag=True, default=False, help="leave zones that fail and return to them, as a fleet")
 @option("zone-limits", default="", help="lasting=4,pace=2,step=0.5,trickle=0.1,rest=10,rest_most=160,ceiling=0.5")
 @option("regions", default="", help="REGION=ZONE+ZONE,...: zones that are left as one where they fail as one")
+@option("policy-folder", type=click.Path(file_okay=False, path_type=Path), help="go by the fleet's policy, kept here")
 @fact_options
 def supervise(
     listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
     log_level: str, trace: Path | None, trace_size: float, trace_age: float, trace_fsync: float, connect: str,
     root: str, session_timeout: float, lapse_hold: float, lapse_hold_most: float, fleet_connect: str,
     fleet_root: str, advertise: str, name: str, expected: str, fleet_timeout: float, leave_zones: bool,
-    zone_limits: str, regions: str, **given: object,
+    zone_limits: str, regions: str, policy_folder: Path | None, **given: object,
 ) -> None:  # fmt: skip
     """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
     host, _, port = listen.rpartition(":")
@@ -107,6 +108,17 @@
             raise click.BadParameter(str(error), param_hint="--zone-limits or --regions") from None
         agent.evacuation = Evacuation(loop, service, agent, limits, log, by_region)
 
+    if policy_folder is not None:
+        if agent is None:
+            raise click.BadParameter("a policy is a fleet's: give --fleet-connect too", param_hint="--policy-folder")
+        from driftshed.policy.keep import BadKeep, Keep
+        from driftshed.policy.part import PolicyPart
+
+        try:
+            PolicyPart(loop, service, agent, Keep(policy_folder, fleet_root, name), log)
+        except BadKeep as error:
+            raise click.BadParameter(str(error), param_hint="--policy-folder") from None
+
     writer = None
     if trace is not None:
         try:
--- a/driftshed/trace/command.py
+++ b/driftshed/trace/command.py
@@ -194,7 +194,7 @@
     playing = Replay(other_core, deciders=DECIDERS)
     for file in files:
         with TraceFile(file) as opened:
-            for batch, row in opened.in_order({"start", "turn", "decision"}):
+            for batch, row in opened.in_order({"start", "turn", "switch", "decision"}):
                 getattr(playing, batch.kind)(row)
             for damage in opened.damages:
                 click.echo(f"{file}: byte {damage.offset}: {damage.why}", err=True)
--- a/driftshed/trace/recording.py
+++ b/driftshed/trace/recording.py
@@ -28,7 +28,7 @@
     def __init__(self, instance: Instance, writer: TraceWriter) -> None:
         self.instance, self.writer, self.begin, self.count = instance, writer, -1, 0
         self.core = core_version()
-        instance.on_turn, instance.on_begin = self._turn, self._begin
+        instance.on_turn, instance.on_begin, instance.on_switch = self._turn, self._begin, self._switch
         self.was_fault, instance.on_fault = instance.on_fault, self._fault
         self._begin(instance.seed, instance.began)
 
@@ -40,6 +40,11 @@
         self.writer.add("start", self.unix(now), run=self.instance.hub.run, begin=self.begin, now=now, seed=seed,
                         core=self.core, facts=encode_facts(self.instance.facts))  # fmt: skip
 
+    def _switch(self, now: float) -> None:
+        """The instance goes by other facts from its next turn on."""
+        self.writer.add("switch", self.unix(now), run=self.instance.hub.run, begin=self.begin, turn=self.count, now=now,
+                        facts=encode_facts(self.instance.facts))  # fmt: skip
+
     def _turn(self, now: float, events: list, orders: list) -> None:
         self._add(now, Encoded(events), Encoded(orders))
 
--- a/driftshed/trace/replay.py
+++ b/driftshed/trace/replay.py
@@ -12,9 +12,10 @@
 import driftshed
 from driftshed import interface as face
 from driftshed.brain import Brain
+from driftshed.core.carrying import carried
 from driftshed.trace.columns import TraceError
 
-DECIDES = ("brain.py", "figures.py", "interface.py")
+DECIDES = ("brain.py", "figures.py", "interface.py", "core/carrying.py")
 SETTLED = -1  # in place of which instance of a run: what it settled with other supervisors
 RAISED = b"!"  # in place of orders: the module raised, and what
 
@@ -77,6 +78,7 @@
         self.make, self.other_core, self.core = make, other_core, core or core_version()
         self.brains: dict[tuple[str, int], Brain | None] = {}
         self.turns: dict[tuple[str, int], int] = {}
+        self.facts: dict[tuple[str, int], face.StartFacts] = {}
         self.found: dict[tuple[str, int], Verdict] = {}
         self.deciders = deciders or {}  # by how a topic begins: says how a decision comes out otherwise, or ""
 
@@ -91,7 +93,17 @@
         if row["core"] != self.core and not self.other_core:
             self._end(key, "unknown", f"decided by core {row['core']}; this program has {self.core}")
             return
-        self.brains[key] = self.make(decode_facts(row["facts"]), row["seed"], row["now"])
+        self.facts[key] = decode_facts(row["facts"])
+        self.brains[key] = self.make(self.facts[key], row["seed"], row["now"])
+
+    def switch(self, row: dict) -> None:
+        key = row["run"], row["begin"]
+        brain = self.brains.get(key)
+        if key in self.found or brain is None:
+            return
+        facts = decode_facts(row["facts"])
+        self.brains[key] = carried(brain, self.facts[key], facts, self.make)
+        self.facts[key] = facts
 
     def turn(self, row: dict) -> None:
         key = row["run"], row["begin"]
--- a/driftshed/trace/schema.py
+++ b/driftshed/trace/schema.py
@@ -18,6 +18,8 @@
                           "servers": "S", "began": "T", "spans": "T", "outcomes": "S"},
     # An instance of the module begins: its facts, and which code decides.
     "start": BASE | {"run": "s", "begin": "i", "now": "f", "seed": "i", "core": "s", "facts": "b"},
+    # Before this turn it went over to other facts (core/carrying.py).
+    "switch": BASE | {"run": "s", "begin": "i", "turn": "i", "now": "f", "facts": "b"},
     # One batch that the module heard, and what it ordered; `turn` counts without a hole within (`run`, `begin`).
     "turn": BASE | {"run": "s", "begin": "i", "turn": "i", "now": "f", "events": "b", "orders": "b"},
     # What a part that supervisors settle together decided on a topic, `what` kind of decision, and all that it
--- a/tests/policies.py
+++ b/tests/policies.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from pathlib import Path
+from random import Random
 
 from driftshed import interface as face
 from driftshed.coordination.taking_part import take_part
@@ -108,6 +109,10 @@
                 rows.append((self.loop.now, policy))
         self.network.loop_seat.after(0.02, self._look)
 
+    def store_falls(self, seconds: float) -> None:
+        if not self.store_seat.ended:
+            self.store_down(seconds)
+
     def kill(self, name: str) -> None:
         super().kill(name)
         self.network.fall((self.hosts[name], 7000))
@@ -161,3 +166,30 @@
         assert not early, f"{name} ordered by policy {policy} before it was settled"
         newer = [each for each in at if each > policy and when > at[each] + bound]
         assert not newer, f"{name} ordered by policy {policy} at {when:.2f} s, past {newer[0]} of {at[newer[0]]:.2f} s"
+
+
+def drawn_history(folder: Path, seed: int, seconds: float = 24.0) -> PolicyFleet:
+    """Changes, and faults between supervisors and store, drawn by a seed."""
+    random = Random(f"policies {seed}")
+    fleet = PolicyFleet(folder, seed=seed, names=("a", "b", "c")[: random.choice([2, 3, 3])])
+    fleet.up()
+    end, dead = fleet.loop.now + seconds, set()
+    while fleet.loop.now < end:
+        fleet.run(random.uniform(0.2, 1.5))
+        name, kind = random.choice(fleet.names), random.randrange(9)
+        if kind < 4 and name not in dead:
+            away = [each for each in fleet.names if each in dead and random.random() < 0.5]
+            fleet.ask(name, round(random.uniform(2.2, 4.0), 2), patience=random.choice([1.0, 3.0]), despite=away)
+        elif kind == 4 and name not in dead:
+            fleet.kill(name)
+            dead.add(name)
+        elif kind == 5 and name in dead:
+            fleet.start(name)
+            dead.discard(name)
+        elif kind == 6 and name not in dead:
+            fleet.pause(name, random.uniform(0.2, 4.0))
+        elif kind == 7 and name not in dead:
+            fleet.cut(name, random.uniform(0.2, 7.0), random.random() < 0.7, random.random() < 0.7)
+        elif kind == 8 and random.random() < 0.5:
+            fleet.lose_answers(name) if name not in dead else fleet.store_falls(random.uniform(0.2, 2.0))
+    return fleet
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -23,7 +23,7 @@
 from driftshed.proxy import follow
 from driftshed.proxy.tables import Tables
 from tests.fleets import check as check_records
-from tests.policies import PolicyFleet, check_policies
+from tests.policies import PolicyFleet, check_policies, drawn_history
 
 TEXT = """
 ahead = 0.5
@@ -346,33 +346,6 @@
     assert "cannot be kept here" in fleet.parts["a"].mine.why and set(fleet.runs().values()) == {0}
 
 
-def drawn_history(folder, seed: int, seconds: float = 24.0) -> PolicyFleet:
-    """Changes, and faults between supervisors and store, drawn by a seed."""
-    random = Random(f"policies {seed}")
-    fleet = PolicyFleet(folder, seed=seed, names=("a", "b", "c")[: random.choice([2, 3, 3])])
-    fleet.up()
-    end, dead = fleet.loop.now + seconds, set()
-    while fleet.loop.now < end:
-        fleet.run(random.uniform(0.2, 1.5))
-        name, kind = random.choice(fleet.names), random.randrange(9)
-        if kind < 4 and name not in dead:
-            away = [each for each in fleet.names if each in dead and random.random() < 0.5]
-            fleet.ask(name, round(random.uniform(2.2, 4.0), 2), patience=random.choice([1.0, 3.0]), despite=away)
-        elif kind == 4 and name not in dead:
-            fleet.kill(name)
-            dead.add(name)
-        elif kind == 5 and name in dead:
-            fleet.start(name)
-            dead.discard(name)
-        elif kind == 6 and name not in dead:
-            fleet.pause(name, random.uniform(0.2, 4.0))
-        elif kind == 7 and name not in dead:
-            fleet.cut(name, random.uniform(0.2, 7.0), random.random() < 0.7, random.random() < 0.7)
-        elif kind == 8 and random.random() < 0.5:
-            fleet.lose_answers(name) if name not in dead else fleet.store_down(random.uniform(0.2, 2.0))
-    return fleet
-
-
 @pytest.mark.parametrize("seed", range(12))
 def test_drawn_histories_hold(tmp_path, seed):
     fleet = drawn_history(tmp_path, seed)
--- /dev/null
+++ b/tests/test_policy_processes.py
@@ -0,0 +1,166 @@
+"""Changes of policy among real processes with faults between them, the command line, and writes that are cut short."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from random import Random
+
+import pytest
+
+from driftshed.day.fleet import OPERATION, FleetStage
+from driftshed.policy.keep import Keep
+
+WRITER = """
+import sys
+from pathlib import Path
+from driftshed.policy.keep import Keep, Kept
+keep = Keep(Path(sys.argv[1]), "f", "s0")
+first = (keep.settled().version if keep.settled() else 0) + 1
+for version in range(first, first + 10000):
+    keep.put(Kept(version, version, "assented", "d", "x" * 3000, "w", "", 1.0, 0.0, ""))
+    keep.put(Kept(version, version, "settled", "d", "x" * 3000, "w", "", 1.0, 0.0, ""))
+    print(version, flush=True)
+"""
+
+
+def cut_short(folder, seed: int) -> tuple[int, int]:
+    """A writer is killed at a point of its own: the last version that it said was kept, and what is read after."""
+    writer = subprocess.Popen([sys.executable, "-c", WRITER, str(folder)], stdout=subprocess.PIPE, text=True)
+    said = 0
+    try:
+        for _ in range(Random(seed).randrange(1, 30)):
+            said = int(writer.stdout.readline())
+        time.sleep(Random(seed).uniform(0, 0.004))
+    finally:
+        writer.kill()
+        rest = writer.stdout.read().split("\n")[:-1]
+        writer.wait(10)
+        writer.stdout.close()
+    keep = Keep(folder, "f", "s0")
+    try:
+        assert all(len(kept.text) == 3000 for kept in keep.history())
+        return max([said, *map(int, rest)]), keep.settled().version
+    finally:
+        keep.close()
+
+
+def test_a_writer_that_is_killed_loses_nothing_that_it_said_and_tears_nothing(tmp_path):
+    for seed in range(8):  # on and on in one file
+        said, kept = cut_short(tmp_path, seed)
+        assert kept in (said, said + 1)
+
+
+TEXT = """
+ahead = 0.3
+despite_after = 4
+[[operations]]
+name = "look"
+objective = 0.5
+timeout = 1.5
+value = 1
+effect = "idempotent"
+[settings]
+proxies = 6
+drain-grace = {grace}
+"""
+
+
+@pytest.fixture
+def stage(tmp_path):
+    stage = FleetStage(tmp_path, policies=True)
+    assert "look:objective=0.5,timeout=1.5,value=1,effect=idempotent" == OPERATION
+    stage.open()
+    stage.until(lambda: all(stage.states(name) == dict.fromkeys(stage.names, "living") for name in stage.names))
+    yield stage
+    stage.close()
+
+
+def run(stage, tmp_path, name: str, *command: str, grace: float | None = None) -> subprocess.CompletedProcess:
+    host, port = stage.addresses[name]
+    if grace is not None:
+        path = tmp_path / f"policy-{grace}.toml"
+        path.write_text(TEXT.format(grace=grace))
+        command = (command[0], str(path), *command[1:])
+    return subprocess.run(
+        [sys.executable, "-m", "driftshed.cli", "policy", *command, "--supervisor", f"{host}:{port}"],
+        capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+
+
+def runs(stage) -> dict[str, int | None]:
+    return {name: view["runs"] if (view := stage.get(name, "policy")) else None for name in stage.names}
+
+
+def test_a_change_from_the_command_line_with_supervisors_killed_paused_and_cut_off(stage, tmp_path):
+    said = run(stage, tmp_path, "s1", "propose", grace=2.5)
+    assert said.returncode == 0 and "version 1 holds everywhere" in said.stdout, said
+    assert runs(stage) == dict.fromkeys(stage.names, 1)
+
+    # One that is cut off has no word: nowhere, and everyone forgets it.
+    stage.do(lambda: stage.to_store["s2"].hold())
+    stage.until(lambda: stage.states("s0").get("s2") == "silent")
+    said = run(stage, tmp_path, "s0", "propose", "--patience", "2", grace=2.7)
+    assert said.returncode == 1 and "no word within 2 s from s2" in said.stderr, said
+    stage.until(lambda: stage.get("s2", "policy")["holds_still"])  # longer away than others wait
+    said = run(stage, tmp_path, "s0", "propose", "--despite", "s2", grace=2.7)
+    assert said.returncode == 0 and "version 2 holds everywhere; away: s2" in said.stdout, said
+    assert runs(stage) == {"s0": 2, "s1": 2, "s2": 1} and stage.get("s2", "policy")["holds_still"]
+
+    # Its way is mended: it finds that it was done without, and its next start learns what stands.
+    stage.do(lambda: stage.to_store["s2"].release())
+    stage.until(lambda: stage.get("s2", "fleet")["standing"] == "fenced")
+    assert stage.get("s2", "policy")["holds_still"]
+    stage.supervisors["s2"].kill()
+    stage.supervisors["s2"].start()
+    stage.supervisors["s2"].await_listening()
+    stage.until(lambda: runs(stage) == dict.fromkeys(stage.names, 2))
+
+    # The proposer dies with its proposal open, one is stopped meanwhile: somebody else ends it.
+    stage.supervisors["s1"].signal(signal.SIGSTOP)
+    assert run(stage, tmp_path, "s0", "propose", "--no-wait", "--patience", "1", grace=2.9).returncode == 0
+    stage.supervisors["s0"].kill()
+    stage.supervisors["s1"].signal(signal.SIGCONT)
+    stage.supervisors["s0"].start()
+    stage.supervisors["s0"].await_listening()
+    stage.until(lambda: len(set(runs(stage).values())) == 1 and all(
+        (view := stage.get(name, "policy")) and view["open"] is None and not view["holds_still"]
+        for name in stage.names))  # fmt: skip
+    assert runs(stage)["s0"] in (2, 3)
+
+    # The store dies and is back: what stands stands.
+    stage.store.kill()
+    stage.store.start()
+    stage.store.await_listening()
+    tried = []
+
+    def reverted() -> bool:  # refused while there is no lease
+        tried.append(run(stage, tmp_path, "s2", "revert", "1", "--why", "as it was"))
+        return tried[-1].returncode == 0
+
+    stage.until(reverted)
+    rows = json.loads(run(stage, tmp_path, "s2", "history", "--json").stdout)
+    assert rows[0]["version"] in (3, 4) and rows[0]["why"] == "as it was"
+    assert f"version {rows[0]['version']} holds everywhere" in tried[-1].stdout
+    assert runs(stage) == dict.fromkeys(stage.names, rows[0]["version"])
+    assert "stands" in run(stage, tmp_path, "s0", "show").stdout
+
+
+def test_the_command_line_says_plainly_what_is_wrong(tmp_path):
+    def policy(*command: str) -> subprocess.CompletedProcess:
+        line = [sys.executable, "-m", "driftshed.cli", "policy", *command]
+        return subprocess.run(line, capture_output=True, text=True, timeout=30)
+
+    good, bad = tmp_path / "good.toml", tmp_path / "bad.toml"
+    good.write_text(TEXT.format(grace=2.5))
+    bad.write_text(TEXT.format(grace=0.5))
+    assert policy("check", str(good)).returncode == 0
+    said = policy("check", str(bad))
+    assert said.returncode == 1 and "drain-grace 0.5 s is under the channel's worst time" in said.stderr
+    said = policy("diff", str(good), str(bad))
+    assert said.returncode == 0 and "settings.drain-grace: 2.5 -> 0.5" in said.stdout
+    bad.write_text("operations = 3\n")
+    said = policy("check", str(bad))
+    assert said.returncode == 2 and "line 1" in said.stderr and "Traceback" not in said.stderr
+    assert policy("show", "--supervisor", "127.0.0.1:1").returncode == 3
