--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -2,6 +2,7 @@
 
     python -m benchmarks.policy histories [COUNT]
     python -m benchmarks.policy times
+    python -m benchmarks.policy kills [COUNT]       # writers of the kept file, killed at points of their own
 
 One JSON object a line."""
 
@@ -18,6 +19,7 @@
 
 from tests.fleets import check
 from tests.policies import PolicyFleet, check_policies, drawn_history
+from tests.test_policy_processes import cut_short
 
 
 def history(seed: int) -> tuple[int, str, int, int, Counter]:
@@ -72,10 +74,30 @@
             "writes_at_rest_in_10_s": written}  # fmt: skip
 
 
+def killed(seeds: range) -> list:
+    """Writers killed one after the other in one file: seeds after which it did not hold what was said, and nothing
+    torn."""
+    folder, wrong = Path(tempfile.mkdtemp()), []
+    for seed in seeds:
+        said, kept = cut_short(folder, seed)
+        if kept not in (said, said + 1):
+            wrong.append([seed, said, kept])
+    shutil.rmtree(folder, ignore_errors=True)
+    return wrong
+
+
+def kills(count: int) -> None:
+    with Pool() as pool:
+        wrong = pool.map(killed, [range(k, k + 25) for k in range(0, count, 25)], chunksize=1)
+    print(json.dumps({"kills": count, "wrong": [row for rows in wrong for row in rows]}))
+
+
 def main() -> None:
     if sys.argv[1:2] == ["times"]:
         for supervisors in (3, 5, 9, 25):
             print(json.dumps(times(supervisors)), flush=True)
+    elif sys.argv[1:2] == ["kills"]:
+        kills(int(sys.argv[2]) if len(sys.argv) > 2 else 1000)
     else:
         histories(int(sys.argv[2]) if len(sys.argv) > 2 else 1000)
 
--- a/driftshed/policy/change.py
+++ b/driftshed/policy/change.py
@@ -137,7 +137,7 @@
         self.switched_at = float("-inf")
 
     def settled(self, change: Change, document: Document, now: float, started: bool) -> None:
-        """What stands was read. One that has given no orders yet goes by it at once."""
+        """What stands was read. One that was not there when it was settled goes by it at once."""
         due = now + (document.ahead if started else 0.0)
         if self.runs is not None and change.version <= self.runs.version:
             return
--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -109,8 +109,9 @@
         return bool(self.assented) or open_without
 
     def _holds_still(self) -> bool:
-        if not self.known or (self.course.runs is None and self.course.next is not None):
-            return True  # what stands comes before the first order
+        due = self.course.next is not None and (self.course.runs is None or self.loop.clock() >= self.course.next[2])
+        if not self.known or due:
+            return True  # what stands comes before the next order, also for one that was stopped at its moment
         despite_after = DESPITE_AFTER if self.document is None else self.document.despite_after
         if holds := self.agent.holds() and self.agent.records.whole:
             self.held_until = self.agent.lease_until()
@@ -153,7 +154,9 @@
             if why:
                 self._cannot(f"version {change.version} stands, and this supervisor cannot go by it: {why}")
                 return
-            self.course.settled(change, document, self.loop.clock(), started=self.known)
+            # Guards against going by the old one a moment longer after a time away: that moment is over elsewhere.
+            here = self.known and self.loop.clock() < self.held_until
+            self.course.settled(change, document, self.loop.clock(), started=here)
             self.loop.at(self.course.next[2], self._switch)
         if self.newest is None or self.newest.epoch != standing.epoch:
             took = self.loop.clock() - self.seen.get(standing.epoch, self.loop.clock())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -13,6 +13,7 @@
 from driftshed.brain import Brain
 from driftshed.coordination.agent import Agent
 from driftshed.core.carrying import CannotCarry, carried
+from driftshed.core.instance import Instance
 from driftshed.core.messages import JoinAnswer
 from driftshed.day.rigged import take_out
 from driftshed.policy import document as policies
@@ -22,6 +23,8 @@
 from driftshed.policy.part import Asked
 from driftshed.proxy import follow
 from driftshed.proxy.tables import Tables
+from driftshed.trace.recording import Encoded, Recording
+from driftshed.trace.replay import Replay
 from tests.fleets import check as check_records
 from tests.policies import PolicyFleet, check_policies, drawn_history
 
@@ -202,11 +205,8 @@
 
 
 def heard(random: Random, server: bytes, tries: int) -> face.Heard:
-    fields = dict.fromkeys(face.Heard._fields) | {
-        "zone": random.randrange(3), "server": server, "tries": tries, "errored": random.randrange(2) * tries // 2,
-        "latency": random.uniform(0.05, 0.4),
-    }  # fmt: skip
-    return face.Heard(**fields)
+    errored = random.randrange(2) * tries // 2
+    return face.Heard(errored, server, tries, 0.5, random.randrange(3), random.uniform(0.05, 0.4), None)
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -236,6 +236,46 @@
             carried(brain, FACTS, bad)
 
 
+class Rows:
+    """In a trace writer's place."""
+
+    def __init__(self) -> None:
+        self.rows = []
+
+    def add(self, kind: str, at: float, **fields) -> None:
+        fields = {name: bytes(value) if isinstance(value, Encoded) else value for name, value in fields.items()}
+        self.rows.append((kind, {"at": at, **fields}))
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_a_switch_is_in_the_trace_and_replayed(lost):
+    writer, random, instance = Rows(), Random(3), Instance(FACTS, 3, "run", 0.0)
+    Recording(instance, writer)
+    for step in range(120):
+        instance.news += some_events(random, step * 0.1, step > 0)
+        instance.turn(step * 0.1)
+        if step == 50:
+            instance.switch(FACTS._replace(queue_cap=400.0, drain_grace=4.0), 1, step * 0.1)
+    assert instance.facts.queue_cap == 400 == instance.brain.cap
+    replay = Replay()
+    for kind, row in writer.rows:
+        if not (lost and kind == "switch"):
+            getattr(replay, kind)(row)
+    assert [verdict.said for verdict in replay.verdicts()] == ["differs" if lost else "same"]
+
+
+def test_what_is_held_back_goes_out_in_its_order_but_for_lines_that_ended_meanwhile():
+    instance, still = Instance(FACTS, 1, "run", 0.0), [True]
+    instance.still = lambda: still[0]
+    one, two = (bytes([127, 0, 0, k, 31, 64]) for k in (1, 2))
+    orders = [face.SetLine(one, 1.0, 0), face.SetLine(two, 1.0, 0), face.UseTable(0, 0, 5)]
+    assert instance._let_through(orders) == []
+    assert instance._let_through([face.SetLine(one, 0.0, 0)]) == [face.SetLine(one, 0.0, 0)]
+    still[0] = False
+    more = [face.SetLine(two, 0.5, 0)]
+    assert instance._let_through(more) == [*orders[1:], *more] and instance._let_through([]) == []
+
+
 # ---- fleets in virtual time --------------------------------------------------------------------------------------
 
 
