--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -14,17 +14,20 @@
 from driftshed.day.accord import RULES as ACCORD
 from driftshed.day.drawn import shrunk, with_drawn, without
 from driftshed.day.judge import Verdict, judge
+from driftshed.day.policies import RULE as POLICIES
 from driftshed.day.script import BadScript, Script, load_script
 from driftshed.day.stage import Stage, play
 from driftshed.day.tamper import RULES
 from driftshed.day.zones import RULE as ZONES
 
+TAMPERS = (*RULES, *ACCORD, ZONES, POLICIES)
+
 
 @click.command()
 @click.argument("name")
 @option("seed", type=click.IntRange(0, 2**31), default=1, help="of the day's chance")
 @click.option("--json", "as_json", is_flag=True, help="print one object and nothing else")
-@click.option("--tamper", type=click.Choice((*RULES, *ACCORD, ZONES)), help="break this rule between the parts")
+@click.option("--tamper", type=click.Choice(TAMPERS), help="break this rule between the parts")
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="keep record and logs in this folder")
 @click.option("--trace", type=click.Path(file_okay=False, path_type=Path), help="write traces into this folder")
 @click.option("--without-faults", is_flag=True, help="the same day without its troubles of supervisors and store")
@@ -44,6 +47,8 @@
         script = without(script)
     if tamper == ZONES and not script.fleet.leave_zones:
         raise click.BadParameter("zones: where zones are left; play `zone`", param_hint="--tamper")
+    if tamper == POLICIES and not script.fleet.policies:
+        raise click.BadParameter("policies: where there are some; play `policy`", param_hint="--tamper")
     if tamper in ACCORD and script.fleet.supervisors == 1:
         raise click.BadParameter(f"{tamper}: of several supervisors alone; play `fleet`", param_hint="--tamper")
 
--- a/driftshed/day/judge.py
+++ b/driftshed/day/judge.py
@@ -18,6 +18,7 @@
 from driftshed.core.holding import fold, lines_of
 from driftshed.core.messages import Changes, RosterNews
 from driftshed.day.accord import judge_accord
+from driftshed.day.policies import judge_policies
 from driftshed.day.recorder import ASK, CONTROL, ROSTER, STORE, WORK, read_record
 from driftshed.day.script import Apart, Cut, Kill, Pause, Script
 from driftshed.day.stage import Cast, owners
@@ -527,4 +528,6 @@
         judge_accord(verdict, kinds, owner)
     if script.fleet.leave_zones:
         judge_zones(found, script.fleet.regions)
+    if script.fleet.policies:
+        judge_policies(found, script.fleet.fleet_timeout)
     return verdict
--- a/driftshed/day/rigged.py
+++ b/driftshed/day/rigged.py
@@ -17,10 +17,13 @@
 from driftshed.coordination import taking_part
 from driftshed.coordination.agent import Agent
 from driftshed.day.accord import RULES, Ordered
+from driftshed.day.policies import RULE as POLICIES
 from driftshed.day.zones import RULE as ZONES
 from driftshed.evacuation.overlay import Overlay
 from driftshed.net.http import HttpClient
 from driftshed.net.loop import Timers
+from driftshed.policy import part
+from driftshed.policy.change import Course
 from driftshed.proxy.follow import Follower
 from driftshed.roster.announce import Standing
 from driftshed.roster.jute import ANY_VERSION, Multi, SetData
@@ -28,6 +31,7 @@
 
 TOPICS = ("one", "two", "three")
 ORDER_EVERY, PROPOSE_EVERY, PATIENCE = 0.1, (0.3, 1.2), 1.0  # seconds
+LATE = 8.0  # seconds that a supervisor whose guard of policies is out takes a change up late
 OBJECTS = 0.2  # share of proposals that a supervisor objects to
 
 
@@ -64,8 +68,9 @@
             agent.propose(topic, self.number, expected, len(expected) // 2 + 1, PATIENCE)
 
 
-def take_out(guard: str) -> None:
-    """Makes this process break one rule of the fleet, so that its checker is seen to fail."""
+def take_out(guard: str, name: str = "") -> None:
+    """Makes this process, a supervisor of this name if it is one, break one rule of the fleet, so that its checker is
+    seen to fail."""
     if guard == "leases":  # acts as long as it has heard of nothing else
         Agent.holds = lambda self: self.chair.standing is Standing.LISTED and not self.stopped
     elif guard == "epochs":  # writes over whatever is there
@@ -82,6 +87,11 @@
         Agent._write = over
     elif guard == "zones":  # agrees, and does not do it
         Overlay.wanted = lambda self: set()
+    elif guard == POLICIES and name.endswith("0"):  # takes up what is settled long after the others
+        due = Course.due
+        Course.due = lambda self, now: due(self, now - LATE)
+        part.may_change_tables = lambda known, now: True
+        part.PolicyPart._holds_still = lambda self: False
     elif guard == "owners":  # a proxy whose terms do not rise
         dial = Follower._dial
 
@@ -96,7 +106,7 @@
 @click.option("--orders-to", default="", help="address:port of the rig")
 @click.option("--clock-off", default=0.0, help="seconds that the wall clock is ahead")
 @click.option("--slow-disk", default=0.0, help="seconds that each sync takes besides")
-@click.option("--take-out", "guard", type=click.Choice([*RULES, ZONES]))
+@click.option("--take-out", "guard", type=click.Choice([*RULES, ZONES, POLICIES]))
 @click.argument("command", nargs=-1, type=click.UNPROCESSED)
 def rigged(orders_to: str, clock_off: float, slow_disk: float, guard: str | None, command: tuple[str, ...]) -> None:
     """Runs COMMAND of driftshed, changed as told."""
@@ -112,7 +122,7 @@
 
         Log.sync = slow
     if guard:
-        take_out(guard)
+        take_out(guard, dict(zip(command, command[1:], strict=False)).get("--name", ""))
     if orders_to:
         host, _, port = orders_to.rpartition(":")
         take_part = taking_part.take_part
--- a/driftshed/day/script.py
+++ b/driftshed/day/script.py
@@ -44,6 +44,7 @@
     leave_zones: bool = False  # zones that fail are left as a fleet
     zone_limits: str = ""  # as `--zone-limits`
     regions: str = ""  # as `--regions`
+    policies: bool = False  # they go by the fleet's policy, which `change` troubles change
 
 
 class Traffic(Struct, forbid_unknown_fields=True):
@@ -147,6 +148,16 @@
     what: Literal["request", "answer"] = "answer"
 
 
+class Change(Struct, tag="change", forbid_unknown_fields=True):
+    """A supervisor is asked to propose the day's own settings as the fleet's policy, with these in place of some.
+    `despite`: numbers of supervisors that it is to do without."""
+
+    at: At
+    settings: dict[str, float]
+    who: Who = 0
+    despite: list[Who] = []
+
+
 class BreakStreams(Struct, tag="break-streams", forbid_unknown_fields=True):
     """Each stream of a share of the proxies breaks halfway through its next delta."""
 
@@ -197,7 +208,7 @@
 
 
 OfStore = Lapse | StoreDown | StorePause | StoreCut
-OfFleet = Apart | Lag | Lose
+OfFleet = Apart | Lag | Lose | Change
 Trouble = (
     Deploy | Restart | Sick | LateRoster | Cut | Kill | Pause | BreakStreams | DropStreams | Surge | OfStore | OfFleet
 )  # fmt: skip
@@ -277,6 +288,8 @@
             raise BadScript(f"{name}: a trouble of the store at {trouble.at} s wants fleet.store = true")
         if getattr(trouble, "who", 0) >= script.fleet.supervisors or isinstance(trouble, OfFleet) and few:
             raise BadScript(f"{name}: {kind} at {trouble.at} s wants more than {script.fleet.supervisors} supervisors")
+        if isinstance(trouble, Change) and not script.fleet.policies:
+            raise BadScript(f"{name}: change at {trouble.at} s wants fleet.policies = true")
         if isinstance(trouble, LateRoster) and script.fleet.store:
             raise BadScript(f"{name}: late-roster at {trouble.at} s: a store does not lag; take store-pause")
         if getattr(trouble, "zone", "") and trouble.zone not in facts.zones:
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from random import Random
 
+import msgspec
+
 from driftshed import interface as face
 from driftshed.core.messages import ListedServer
 from driftshed.day import script as says
@@ -19,8 +21,9 @@
 from driftshed.day.recorder import ASK, CONTROL, ORDER, ROSTER, STORE, STORED, WORK, Recorder
 from driftshed.day.relay import Relay
 from driftshed.day.tamper import RULES, Tamper
-from driftshed.net.http import HttpClient, HttpServer
+from driftshed.net.http import Answer, HttpClient, HttpServer
 from driftshed.net.loop import Loop
+from driftshed.policy import document as policies
 from driftshed.standins.client import ClientStandin
 from driftshed.standins.emulator import Ill, ServerStandin
 from driftshed.standins.roster import RosterStandin, StoreRoster
@@ -256,8 +259,10 @@
             ]  # fmt: skip
             if fleet.leave_zones:
                 supervisor.more += ["--leave-zones", "--zone-limits", fleet.zone_limits, "--regions", fleet.regions]
+            if fleet.policies:
+                supervisor.more += ["--policy-folder", str(self.folder / f"policy{k}")]
             off = fleet.clocks_off * self.random.uniform(-1, 1)
-            taken_out = ["--take-out", self.tamper] if self.tamper in ("leases", "epochs", "zones") else []
+            taken_out = ["--take-out", self.tamper] if self.tamper in ("leases", "epochs", "zones", "policies") else []
             supervisor.program = ("driftshed.day.rigged", "--orders-to", f"{host}.3:{ORDER_PORT}", "--clock-off",
                                   f"{off:.3f}", *taken_out, "--")  # fmt: skip
         self.supervisors.append(supervisor)
@@ -559,6 +564,19 @@
 
         self.loop.after(trouble.lasts, over)
 
+    def _begin_change(self, trouble: says.Change) -> None:
+        document = policies.of_flags({**self.script.flags, **trouble.settings}, self.script.operations)
+        despite = [self.names[number] for number in trouble.despite]
+        asked = {"what": "propose", "who": "the day", "text": policies.as_toml(document), "despite": despite}
+        client = HttpClient(self.loop, (f"127.{self.net}.0.{9 + trouble.who}", 7100), idle_most=1)
+
+        def answered(answer: Answer) -> None:
+            self._note("policy proposed", status=answer.status, said=answer.body.decode("utf-8", "replace")[:120],
+                       **self._which(trouble.who))  # fmt: skip
+            client.close()
+
+        client.call("POST", "/v1/policy", msgspec.json.encode(asked), answered, 3.0)
+
     def _begin_pause(self, trouble: says.Pause) -> None:
         supervisor, more = self.supervisors[trouble.who], self._which(trouble.who)
         self._note("supervisor stopped", **more)
--- a/driftshed/policy/command.py
+++ b/driftshed/policy/command.py
@@ -80,6 +80,25 @@
     click.echo(f"{policies.digest(document)}: {len(document.operations)} operations, {len(document.settings)} settings")
 
 
+@policy.command()
+@click.option("--operation", "operations", multiple=True, required=True, help="as `supervise --operation`")
+@click.option("--setting", "settings", multiple=True, metavar="NAME=VALUE", help="a flag of supervise, without dashes")
+def draft(operations: tuple[str, ...], settings: tuple[str, ...]) -> None:
+    """Prints a document that says what flags of `supervise` say, to begin with."""
+    given = {}
+    for text in settings:
+        name, _, value = text.partition("=")
+        try:
+            given[name] = json.loads(value)
+        except ValueError:
+            given[name] = value
+    try:
+        click.echo(policies.as_toml(policies.of_flags(given, list(operations))), nl=False)
+    except BadDocument as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+
+
 @policy.command()
 @click.argument("old", type=FILE)
 @click.argument("new", type=FILE)
--- a/driftshed/policy/document.py
+++ b/driftshed/policy/document.py
@@ -136,6 +136,35 @@
             if path not in before or path not in after or before[path] != after[path]]  # fmt: skip
 
 
+def of_flags(flags: dict[str, bool | int | float | str], operations: list[str]) -> Document:
+    """A document that says what flags of `supervise` say; BadDocument where they cannot be one."""
+    try:
+        rows = []
+        for text in operations:
+            name, _, rest = text.partition(":")
+            given = dict(part.split("=", 1) for part in rest.split(",") if part)
+            rows.append(msgspec.convert({"name": name, **given}, Operation, strict=False))
+        document = Document(operations=rows, settings={key: value for key, value in flags.items() if key not in OWN})
+    except (ValueError, msgspec.ValidationError) as error:
+        raise BadDocument(str(error)) from None
+    check_alone(document)
+    return document
+
+
+def as_toml(document: Document) -> str:
+    """A document as a file to edit; what it leaves out holds anyway."""
+    plain, lines = _plain(msgspec.to_builtins(document)), []
+    value = lambda each: msgspec.json.encode(each).decode()  # noqa: E731
+    operations = plain.pop("operations")
+    lines += [f"{key} = {value(each)}" for key, each in plain.items() if not isinstance(each, dict)]
+    for row in operations:
+        lines += ["", "[[operations]]", *(f"{key} = {value(each)}" for key, each in row.items() if each is not None)]
+    for key, table in plain.items():
+        if isinstance(table, dict) and table:
+            lines += ["", f"[{key}]", *(f"{name} = {value(each)}" for name, each in table.items())]
+    return "\n".join(lines) + "\n"
+
+
 def facts(document: Document, own_number: int = 0, supervisors: int = 1) -> face.StartFacts:
     """The start facts of a supervisor that goes by the document; BadDocument where two settings do not go together."""
     flags = document.settings | {"own-number": own_number, "supervisors": max(supervisors, own_number + 1)}
--- a/tests/test_day_fleet.py
+++ b/tests/test_day_fleet.py
@@ -222,3 +222,34 @@
     assert all(row["checked"] and not row["broken"] for row in kept["rules"].values()), kept
     for rule, said in zip(RULES, tampered, strict=True):
         assert said["rules"][rule]["broken"], (rule, said)
+
+
+POLICY_FAULTS = """
+[[troubles]]
+type = "kill"
+at = 7.5
+down = 1.5
+who = 1
+
+[[troubles]]
+type = "apart"
+at = 10
+lasts = 3
+who = 2
+side = "store"
+"""
+
+
+def test_a_policy_changes_while_supervisors_fail_and_one_that_is_late_is_seen(tmp_path):
+    path = tmp_path / "day.toml"
+    text = (resources.files("driftshed.day") / "scripts" / "policy.toml").read_text()
+    head, _, rest = text.replace("seconds = 38", "seconds = 24").partition("[drawn]")
+    rest = rest[rest.index("[[troubles]]") : rest.index('[[troubles]]\ntype = "change"\nat = 30')]
+    path.write_text(head + rest + POLICY_FAULTS)
+    with ThreadPoolExecutor(2) as pool:
+        kept, tampered = pool.map(lambda tamper: played(path, tamper), (None, "policies"))
+    assert not kept["breaks"], kept["breaks"]
+    assert kept["rules"]["policies"]["checked"] > 50
+    said = [event["said"] for event in kept["events"] if event["what"] == "policy proposed"]
+    assert len(said) == 4 and sum('"version"' in each for each in said) >= 2, said
+    assert tampered["rules"]["policies"]["broken"], tampered
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -106,6 +106,7 @@
     text = policies.canonical(one)
     again = policies.parse(text)
     assert policies.canonical(again) == text and policies.digest(again) == policies.digest(one)
+    assert policies.canonical(policies.read(policies.as_toml(one))) == text
     assert (policies.digest(one) == policies.digest(other)) == (policies.difference(one, other) == [])
     flat = policies.flat(one)
     for path, before, after in policies.difference(one, other):
--- a/tests/test_policy_processes.py
+++ b/tests/test_policy_processes.py
@@ -156,6 +156,11 @@
     good.write_text(TEXT.format(grace=2.5))
     bad.write_text(TEXT.format(grace=0.5))
     assert policy("check", str(good)).returncode == 0
+    drawn = policy("draft", "--operation", OPERATION, "--setting", "drain-grace=2.5", "--setting", "zones=east,west")
+    (tmp_path / "drawn.toml").write_text(drawn.stdout)
+    assert policy("check", str(tmp_path / "drawn.toml")).returncode == 0 and "zones" in drawn.stdout
+    said = policy("draft", "--operation", OPERATION, "--setting", "drain-gracee=2.5")
+    assert said.returncode == 2 and "drain-grace" in said.stderr
     said = policy("check", str(bad))
     assert said.returncode == 1 and "drain-grace 0.5 s is under the channel's worst time" in said.stderr
     said = policy("diff", str(good), str(bad))
