--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -413,6 +413,13 @@
         check(msgspec.structs.replace(bad, fleet=msgspec.structs.replace(bad.fleet, zone_limits="pace=0")))
 
 
+def test_where_the_rest_cannot_bear_all_the_least_billed_value_is_let_in_less():
+    outcome = run(day(Sick(6.0, 24.0, "hang", 1.0, Whom(share=1.0, zone="east")), seconds=40.0, load=0.8), 1)
+    assert outcome.kept and max(shares(outcome)) > 0.4, outcome.breaks
+    served = outcome.operations  # billed value for each second of objective: lookup 2, post 3.75, purchase 12.5
+    assert served["purchase"] > max(served["lookup"], served["post"]) + 0.05, served
+
+
 FOUR, COAST_LOST = "east,west,north,south", [ZoneLost(6.0, 10.0, "east"), ZoneLost(6.3, 10.0, "west")]
 
 
