--- a/driftshed/evacuation/command.py
+++ b/driftshed/evacuation/command.py
@@ -4,35 +4,16 @@
 
 import getpass
 import json
-import sys
-import urllib.error
-import urllib.request
 
 import click
 from rich.console import Console
 from rich.table import Table
 
-WITHIN = 5.0  # seconds
+from driftshed.common.asking import ask
 
 
 def _ask(supervisor: str, body: dict | None = None) -> object:
-    data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{supervisor}/v1/zones", data, {"content-type": "application/json"})
-    try:
-        with urllib.request.urlopen(request, timeout=WITHIN) as answer:
-            return json.load(answer)
-    except urllib.error.HTTPError as error:
-        text = error.read().decode("utf-8", "replace")
-        try:
-            text = json.loads(text)["error"]
-        except (ValueError, KeyError, TypeError):
-            pass
-        none = error.code == 404
-        click.echo("this supervisor leaves no zones: start it with --leave-zones" if none else text, err=True)
-        sys.exit(4 if none else 1)
-    except (OSError, ValueError) as error:
-        click.echo(f"{supervisor}: no answer ({error}); name a supervisor that runs", err=True)
-        sys.exit(3)
+    return ask(supervisor, "zones", body, "this supervisor leaves no zones: start it with --leave-zones")
 
 
 @click.group()
--- a/driftshed/evacuation/part.py
+++ b/driftshed/evacuation/part.py
@@ -16,6 +16,7 @@
 from driftshed.evacuation.overlay import Overlay
 from driftshed.evacuation.places import Place, places
 from driftshed.evacuation.stages import (
+    BY_HAND_MOST,
     SMALL,
     BadStage,
     Limits,
@@ -35,7 +36,6 @@
 STAGGER = 0.5  # of the pace: how much later each next supervisor proposes what the first one has not
 STRAIN = 2.0  # times the usual latency in a zone that takes over
 FIRST_WAIT = 2.0  # of the session's time-out: how long a start waits for what stands before it takes proxies
-BY_HAND_MOST = 86400.0  # seconds
 MOST = 1e9  # seconds: as good as for ever, and can be written down
 
 
@@ -405,16 +405,3 @@
     if stage.zone != place.name or (sorted(stage.order) != own if len(own) > 1 else stage.order):
         raise BadStage(f"{stage.zone!r} of {', '.join(stage.order) or 'one zone'} is not what {place.name!r} is here")
     return stage
-
-
-def read_limits(text: str) -> Limits:
-    """Limits from "lasting=4,pace=2"; ValueError names what is wrong and what there is."""
-    given = {}
-    for part in filter(None, (part.strip() for part in text.split(","))):
-        name, _, value = part.partition("=")
-        if name not in Limits._fields:
-            raise ValueError(f"{name!r} is none of {', '.join(Limits._fields)}")
-        given[name] = float(value)
-        if not 0 < given[name] <= (1.0 if name in ("step", "trickle", "ceiling") else BY_HAND_MOST):
-            raise ValueError(f"{name}={value} is out of its range")
-    return Limits(**given)
--- a/driftshed/evacuation/stages.py
+++ b/driftshed/evacuation/stages.py
@@ -15,6 +15,7 @@
 
 Share = Annotated[float, Meta(ge=0, le=1)]
 SMALL = 1e-5
+BY_HAND_MOST = 86400.0  # seconds
 
 
 class BadStage(ValueError):
@@ -234,3 +235,16 @@
         if not borne(sight, limits):
             return None
     return True, ""
+
+
+def read_limits(text: str) -> Limits:
+    """Limits from "lasting=4,pace=2"; ValueError names what is wrong and what there is."""
+    given = {}
+    for part in filter(None, (part.strip() for part in text.split(","))):
+        name, _, value = part.partition("=")
+        if name not in Limits._fields:
+            raise ValueError(f"{name!r} is none of {', '.join(Limits._fields)}")
+        given[name] = float(value)
+        if not 0 < given[name] <= (1.0 if name in ("step", "trickle", "ceiling") else BY_HAND_MOST):
+            raise ValueError(f"{name}={value} is out of its range")
+    return Limits(**given)
--- a/driftshed/lab/grounds.py
+++ b/driftshed/lab/grounds.py
@@ -18,8 +18,9 @@
 from driftshed.day.relay import Relay
 from driftshed.day.stage import CONTROL_PORT, ROSTER_PORT, Cast, ProxyProcess, SupervisorProcess, free_net
 from driftshed.day.traffic import StoreTalk
-from driftshed.evacuation.part import Evacuation, read_limits
+from driftshed.evacuation.part import Evacuation
 from driftshed.evacuation.places import read_regions
+from driftshed.evacuation.stages import read_limits
 from driftshed.lab.record import Record
 from driftshed.lab.scenario import BadScenario, Link, Scenario, control_zone
 from driftshed.lab.virtual import Network, Seat, VirtualLoop, Way
--- a/driftshed/policy/command.py
+++ b/driftshed/policy/command.py
@@ -7,43 +7,23 @@
 import json
 import sys
 import time
-import urllib.error
-import urllib.request
 from pathlib import Path
 
 import click
 from rich.console import Console
 from rich.table import Table
 
+from driftshed.common.asking import ask as ask_view
 from driftshed.policy import document as policies
 from driftshed.policy.document import BadDocument, Document
 
-WITHIN = 5.0  # seconds for one answer
 LOOK_EVERY = 0.1
 ENDS = {"settled": 0, "void": 1, "lost": 1, "refused": 1, "unknown": 5}
 
 
 def ask(supervisor: str, body: dict | None = None) -> dict:
-    """The answer of a supervisor; the program ends with a plain word where there is none."""
-    data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{supervisor}/v1/policy", data, {"content-type": "application/json"})
-    try:
-        with urllib.request.urlopen(request, timeout=WITHIN) as answer:
-            return json.load(answer)
-    except urllib.error.HTTPError as error:
-        text = error.read().decode("utf-8", "replace")
-        try:
-            text = json.loads(text)["error"]
-        except (ValueError, KeyError, TypeError):
-            pass
-        if error.code == 404:
-            click.echo("this supervisor takes no part in policies: start it with --policy-folder", err=True)
-            sys.exit(4)
-        click.echo(text, err=True)
-        sys.exit(2 if error.code == 400 else 1)
-    except (OSError, ValueError) as error:
-        click.echo(f"{supervisor}: no answer ({error}); name a supervisor that runs", err=True)
-        sys.exit(3)
+    return ask_view(supervisor, "policy", body, "this supervisor takes no part in policies: start it with "
+                    "--policy-folder", bad=2)  # fmt: skip
 
 
 def load(path: Path) -> tuple[str, Document]:
--- a/driftshed/policy/document.py
+++ b/driftshed/policy/document.py
@@ -15,8 +15,8 @@
 from msgspec import Meta, Struct
 
 from driftshed import interface as face
-from driftshed.evacuation.part import read_limits
 from driftshed.evacuation.places import read_regions
+from driftshed.evacuation.stages import read_limits
 from driftshed.supervisor.flags import FLAGS, OperationFlag, facts_of
 
 FORM = 1  # of documents that this build reads
--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -13,7 +13,7 @@
 from driftshed.coordination import agreement
 from driftshed.coordination.agent import Agent, Proposal
 from driftshed.core.hub import Refused
-from driftshed.evacuation.part import read_limits
+from driftshed.evacuation.stages import read_limits
 from driftshed.net.loop import Timers
 from driftshed.policy import document as policies
 from driftshed.policy.change import (
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -99,8 +99,9 @@
     if leave_zones:
         if agent is None:
             raise click.BadParameter("zones are left as a fleet: give --fleet-connect too", param_hint="--leave-zones")
-        from driftshed.evacuation.part import Evacuation, read_limits
+        from driftshed.evacuation.part import Evacuation
         from driftshed.evacuation.places import read_regions
+        from driftshed.evacuation.stages import read_limits
 
         try:
             limits, by_region = read_limits(zone_limits), read_regions(regions, facts.zones)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -10,10 +10,21 @@
 from driftshed.core.hub import Refused
 from driftshed.evacuation.evidence import ENOUGH, Evidence, Lasting, Met, Verdict, dead, of_place, verdict
 from driftshed.evacuation.overlay import Overlay
-from driftshed.evacuation.part import Evacuation, Ordered, read_limits
+from driftshed.evacuation.part import Evacuation, Ordered
 from driftshed.evacuation.places import REGION, Place, places, reach, read_regions
 from driftshed.evacuation.retrace import decided_again
-from driftshed.evacuation.stages import BadStage, Limits, Sight, Stage, bearing, ceiling, follows, next_stage, word
+from driftshed.evacuation.stages import (
+    BadStage,
+    Limits,
+    Sight,
+    Stage,
+    bearing,
+    ceiling,
+    follows,
+    next_stage,
+    read_limits,
+    word,
+)
 from driftshed.lab.model import explore
 from driftshed.lab.run import run
 from driftshed.lab.scenario import BadScenario, Link, Sick, StoreDown, Whom, ZoneLost, bare_day, check
