--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -73,6 +73,7 @@
         self.assented = {kept.epoch: kept for kept in keep.assented()}
         self.newest = keep.settled()
         self.mine: Proposal | None = None
+        self.looked_at: agreement.Record | None = None
         before, told, waits = agent.judge, agent.on_record, service.waits
         agent.judge = lambda record: self._word(record) if record.topic == TOPIC else before(record)
         agent.on_record = lambda record: (told(record), self._look_at(record))
@@ -124,6 +125,7 @@
         """A record was read, or stands as it was read."""
         if record.topic != TOPIC:
             return
+        self.looked_at = record
         self.seen.setdefault(record.epoch, self.loop.clock())
         while len(self.seen) > MOST_SEEN:
             del self.seen[min(self.seen)]
@@ -208,7 +210,7 @@
         self.loop.after(LOOK_EVERY, self._turn)
         if self.agent.records.whole and self.agent.holds():
             topic = self.agent.topics.get(TOPIC)
-            if topic is not None and topic.record is not None:
+            if topic is not None and topic.record is not None and (self.cannot or topic.record is not self.looked_at):
                 self._look_at(topic.record)
             if topic is None or topic.record is None or topic.record.standing is None:
                 if self.newest is not None:
