--- a/driftshed/policy/document.py
+++ b/driftshed/policy/document.py
@@ -15,6 +15,7 @@
 from msgspec import Meta, Struct
 
 from driftshed import interface as face
+from driftshed.core.carrying import FREE
 from driftshed.evacuation.places import read_regions
 from driftshed.evacuation.stages import read_limits
 from driftshed.supervisor.flags import FLAGS, OperationFlag, facts_of
@@ -24,11 +25,7 @@
 MOST_OPERATIONS = 16
 OWN = {"own-number", "supervisors"}  # flags that stay with a process, or follow from the fleet's roll
 # What may change in a fleet that runs; the rest is built into what instances are at their start.
-WHILE_RUNNING = {
-    "cold-share", "warm-within", "drain-grace", "tip-multiple", "tip-span", "bare-for", "queue-cap", "lines-per-second",
-    "lines-per-message", "message-cap", "message-span", "transit", "worst-transit", "report-lines", "least-connections",
-    "proxies",
-}  # fmt: skip
+WHILE_RUNNING = {flag.name for flag in FLAGS if flag.fact in FREE}
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 
 
--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -64,7 +64,6 @@
         self.instance, self.course = service.instance, Course()
         self.document: Document | None = None  # that it goes by
         self.last: tuple[Change, Document] | None = None  # what it went by before
-        self.went_by: Change | None = None
         self.faults, self.undone = 0, 0
         self.was_still, self.held_until = False, float("-inf")
         self.known = False  # whether it was ever read what stands
@@ -162,8 +161,7 @@
             self.loop.at(self.course.next[2], self._switch)
         if self.newest is None or self.newest.epoch != standing.epoch:
             took = self.loop.clock() - self.seen.get(standing.epoch, self.loop.clock())
-            names = ",".join(self.agent.roll.expected) if not change.despite else ",".join(
-                name for name in self.agent.roll.expected if name not in change.despite)  # fmt: skip
+            names = ",".join(self._needs(change))
             self.newest = self._kept(standing.epoch, change, "settled")._replace(took=took, assents=names)
             self._write(self.newest)
         self.assented.pop(standing.epoch, None)
@@ -193,6 +191,10 @@
         facts = self.instance.facts
         return policies.facts(document, facts.own_number, facts.supervisors)
 
+    def _needs(self, change: Change) -> tuple[str, ...]:
+        """Whose word a change needs."""
+        return tuple(name for name in self.agent.roll.expected if name not in change.despite)
+
     def _kept(self, epoch: int, change: Change, state: str) -> Kept:
         named = change.version, epoch, state, change.digest, change.text, change.who, change.why
         return Kept(*named, self.unix(), 0.0, "")
@@ -226,13 +228,12 @@
         self._guard()
 
     def _switch(self) -> None:
-        due = self.course.due(self.loop.clock())
+        was, due = self.course.runs, self.course.due(self.loop.clock())
         if due is None:
             return
         change, document = due
-        if self.document is not None and not change.undoes:
-            self.last = self.went_by, self.document
-        self.went_by = change
+        if was is not None and not change.undoes:
+            self.last = was, self.document
         self.instance.switch(self._facts(document), change.version, self.loop.clock())
         self.document, self.faults = document, self.instance.faults
         evacuation = getattr(self.agent, "evacuation", None)
@@ -246,10 +247,9 @@
         """Takes a policy back under which the module raised: by the same way, never alone."""
         if self.document is None or self.instance.faults == self.faults or self.agent.is_open(TOPIC):
             return
-        since = self.loop.clock() - self.course.switched_at
-        found = undoing(self.standing(), self.last, self.instance.faults - self.faults, since, self.document.guard_for)
-        standing = self.standing()
-        if found is None or standing is None or self.undone == standing.version or not self.agent.holds():
+        since, standing = self.loop.clock() - self.course.switched_at, self.standing()
+        found = undoing(standing, self.last, self.instance.faults - self.faults, since, self.document.guard_for)
+        if found is None or self.undone == standing.version or not self.agent.holds():
             return
         self.undone = standing.version
         document, why = found
@@ -288,9 +288,8 @@
         return said, why
 
     def _propose(self, change: Change, patience: float) -> None:
-        needs = tuple(name for name in self.agent.roll.expected if name not in change.despite)
-        self.agent.propose(TOPIC, msgspec.to_builtins(change), needs, len(needs), patience, self._ended)
-        self.mine = self.agent.topics[TOPIC].proposals[-1] if self.agent.topics[TOPIC].proposals else None
+        needs = self._needs(change)
+        self.mine = self.agent.propose(TOPIC, msgspec.to_builtins(change), needs, len(needs), patience, self._ended)
 
     def _ended(self, proposal: Proposal) -> None:
         self.log("policy_ended", state=proposal.state, epoch=proposal.epoch, why=proposal.why)
@@ -328,7 +327,7 @@
             self.agent.fence_out(name)
         self._propose(change, asked.patience)
         was = None if standing is None else policies.parse(standing.text)
-        return {"version": change.version, "digest": change.digest, "token": self.mine.token if self.mine else "",
+        return {"version": change.version, "digest": change.digest, "token": self.mine.token,
                 "difference": policies.difference(was, document)}  # fmt: skip
 
     def _version(self, version: int) -> Document:
