--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -11,12 +11,12 @@
 from collections.abc import Callable
 from random import Random
 
-from msgspec import UNSET
+from msgspec import UNSET, UnsetType
 from msgspec.structs import replace
 
 from driftshed.coordination import agreement
 from driftshed.coordination.agreement import Ballot, Barred, Record
-from driftshed.coordination.folder import Folder
+from driftshed.coordination.folder import Folder, Names
 from driftshed.coordination.lease import DRIFT, Lease
 from driftshed.coordination.members import BadMember, Member, Roll, read_member, write_member
 from driftshed.net.loop import Timer, Timers
@@ -106,20 +106,23 @@
         self.busy = self.reading = self.swept = False
         self.proposals: list[Proposal] = []
         self.ending: tuple[int, str, Callable[[bool, str], object]] | None = None
+        self.above: Record | None = None  # as the fleet above has it, where its record is to be copied here
         self.timer: Timer | None = None
 
 
 class Agent:
     """`expected`: names of the supervisors of the fleet, this one's among them. `judge(record)`: the word on an open
     record, (assent, why), or None to be asked again. `on_record(record)`: a topic stands anew. `on_roll()`: the living
-    changed. `seed` is to be another at each start."""
+    changed. `seed` is to be another at each start. `lag`: seconds for which one who is away counts as there beyond what
+    a record says, in a fleet whose members speak for others."""
 
     def __init__(
         self, loop: Timers, hosts: list[tuple[str, int]], root: str, member: Member, expected: tuple[str, ...],
         timeout: float, seed: int, log: Callable[..., object] = lambda event, **fields: None,
-        dial: Callable[..., Stream] = dial, drift: float = DRIFT, pause: float | None = None,
+        dial: Callable[..., Stream] = dial, drift: float = DRIFT, pause: float | None = None, lag: float = 0.0,
     ) -> None:  # fmt: skip
-        self.loop, self.root, self.log, self.timeout = loop, root, log, timeout
+        self.loop, self.root, self.log, self.timeout, self.lag = loop, root, log, timeout, lag
+        self.tiers, self.say_every = 1, SAY_EVERY
         self.lease, self.roll = Lease(timeout, drift, pause), Roll(expected, loop.clock())
         self.addresses: list[str] = []  # where proxies may dial, by the roll as it stands
         self.topics: dict[str, Topic] = {}
@@ -135,6 +138,7 @@
         self.members = Folder(self._ask, f"{root}/members", self._member, self._member_gone, self._roll_whole)
         self.records = Folder(self._ask, f"{root}/records", self._record, self._record_gone, self._records_whole,
                               self._make_records)  # fmt: skip
+        self.others: list[Folder | Names] = []  # folders of other fleets that it reads besides
         self.stopped = False
         self.say_due: Timer | None = None
         self.woken: Timer | None = None
@@ -156,8 +160,9 @@
             self.zxid = max(self.zxid, self.client.session.zxid)
         client.session.zxid = self.zxid
         self.client = client
-        self.members.forget()
-        self.records.forget()
+        self.roll.read_at = None
+        for folder in (self.members, self.records, *self.others):
+            folder.forget()
         for topic in self.topics.values():
             topic.box, topic.busy, topic.reading = None, False, False
 
@@ -166,13 +171,14 @@
         if state is State.ON:
             self.loop.soon(self._begin)
         else:
-            self.members.away()
-            self.records.away()
+            self.roll.read_at = None
+            for folder in (self.members, self.records, *self.others):
+                folder.away()
 
     def _begin(self) -> None:
         if self.client.session.state is State.ON:
-            self.members.begin()
-            self.records.begin()
+            for folder in (self.members, self.records, *self.others):
+                folder.begin()
             for topic in self.topics.values():
                 if topic.box is not None:
                     topic.box.begin()
@@ -195,7 +201,7 @@
         client.ask(request, done)
 
     def heard(self, event: Event) -> None:
-        if not self.members.heard(event) and not self.records.heard(event):
+        if not any(folder.heard(event) for folder in (self.members, self.records, *self.others)):
             for topic in self.topics.values():
                 if topic.box is not None and topic.box.heard(event):
                     return
@@ -217,6 +223,23 @@
         """When the lease ends unless it is proven anew, in seconds on the own clock."""
         return self.lease.until(self.client.session.proved_at, self.client.session.timeout)
 
+    def acts(self) -> bool:
+        """Whether what was agreed for its whole fleet, through all tiers, may be acted on now."""
+        return self.holds()
+
+    def acts_until(self) -> float:
+        """When that ends unless it is proven anew, in seconds on the own clock."""
+        return self.lease_until()
+
+    def herd_wait(self, most: float) -> float:
+        """Seconds, `most` at the most, to wait before a proposal that all may come to make at the same moment."""
+        return 0.0
+
+    def undecided(self, topic: str) -> bool:
+        """Whether a record of a fleet above is open, whose end may be there before it is heard of here."""
+        record = self.topics[topic].record if topic in self.topics else None
+        return agreement.pending(record) and record.copied is not UNSET
+
     def agreed(self, topic: str) -> agreement.Standing | None:
         """What stands on a topic, to act on now; None without a lease, and where nothing is settled."""
         return self.standing(topic) if self.holds() else None
@@ -229,7 +252,7 @@
     def is_open(self, topic: str) -> bool:
         """Whether a proposal waits on a topic, as it was last read."""
         known = self.topics.get(topic)
-        return known is not None and known.record is not None and known.record.state == "open"
+        return known is not None and agreement.pending(known.record)
 
     # ---- members ----------------------------------------------------------------------------------------------
 
@@ -255,6 +278,8 @@
         # A new session read all anew: who went while we were away has no node that could tell of it.
         for node in [node for node in self.roll.nodes if node not in self.members.names]:
             self.roll.vanished(node, self.loop.clock())
+        if self.roll.read_at is None:
+            self.roll.read_at = self.loop.clock()
         self._rolled()
 
     def _rolled(self) -> None:
@@ -267,9 +292,13 @@
         node = replace(self.chair.node, **changes)
         if node == self.chair.node:
             return
+        wait = SAY_EVERY if changes.keys() & {"state", "policy", "digest"} else self.say_every
         self.chair.node = node
+        if self.say_due is not None and self.say_due.at > self.loop.clock() + wait:
+            self.say_due.cancel()
+            self.say_due = None
         if self.say_due is None:
-            self.say_due = self.loop.after(SAY_EVERY, self._say)
+            self.say_due = self.loop.after(wait, self._say)
 
     def fence_out(self, name: str) -> None:
         """Takes an epoch of another supervisor's name: a start of it that is not there, but may only be stopped, finds
@@ -346,7 +375,7 @@
                 proposal.epoch = record.epoch
                 if record.state == "settled":
                     proposal.end("settled")
-                elif record.state != "open":
+                elif not agreement.pending(record):
                     proposal.end("settled" if record.passed else "void", record.why)
             elif record is not None and record.standing is not None and record.standing.token == proposal.token:
                 proposal.end("settled")
@@ -355,7 +384,7 @@
                 proposal.end("unknown", "the topic went on before this was read")
             elif proposal.epoch and record is None:
                 proposal.end("unknown", "the topic was swept before this was read")
-            elif record is not None and record.state == "open":
+            elif agreement.pending(record):
                 proposal.end("lost", f"epoch {record.epoch} of {record.by} was there first")
         topic.proposals = [each for each in topic.proposals if each.state in ("waiting", "open")]
 
@@ -364,15 +393,18 @@
     def propose(
         self, topic: str, body: object, needs: tuple[str, ...], quorum: int, patience: float,
         done: Callable[[Proposal], object] = lambda proposal: None, binds_for: float | None = None,
+        waits: float | UnsetType = UNSET,
     ) -> Proposal:  # fmt: skip
         """Proposes for a topic; `quorum` of `needs` must assent within `patience` seconds. Barred where that can never
-        be. What becomes of it is told to `done`, also when this process lost contact meanwhile."""
+        be. What becomes of it is told to `done`, also when this process lost contact meanwhile. `waits`: seconds of
+        silence after which one that is named is done without; for ever unless given."""
         agreement.check(topic, needs, quorum, patience)
         self.number += 1
         token = f"{self.name}~{self.run}#{self.number}"
 
         def make(old: Record | None, epoch: int) -> Record:
-            return agreement.proposed(old, topic, epoch, self.name, token, body, needs, quorum, patience, binds_for)
+            words = needs, quorum, patience, binds_for, waits
+            return agreement.proposed(old, topic, epoch, self.name, token, body, *words)
 
         agreement.write(make(None, 1))  # Barred where it is too large
         proposal = Proposal(token, make, done)
@@ -392,6 +424,19 @@
             known.proposals = [each for each in known.proposals if each is not proposal]
         self._look(known)
 
+    def copy(self, record: Record) -> None:
+        """Wants a topic to stand here as it does in the fleet above: asked here while it is open there, ended here as
+        it ended there."""
+        topic = self._topic(record.topic)
+        topic.above = record
+        self._look(topic)
+
+    def behind(self, topic: Topic) -> Record | None:
+        """What a copy is to be, where it is not as the fleet above has its record."""
+        if topic.above is None:
+            return None
+        return agreement.copied(topic.record, topic.above, self.name, self.roll.expected)
+
     def end(self, topic: str, epoch: int, why: str, done: Callable[[bool, str], object] = lambda ok, why: None) -> None:
         """Ends what stands on a topic under this epoch: `done(True, "")`, or why not."""
         known = self._topic(topic)
@@ -416,8 +461,11 @@
             if self._wants(topic):
                 self._wake()
             return
-        if record is not None and record.state == "open":
-            self._look_open(topic, record)
+        if copy := self.behind(topic):
+            self._copy(topic, copy)
+        elif agreement.pending(record):
+            if record.state == "open":
+                self._look_open(topic, record)
         elif topic.ending is not None:
             self._end(topic)
         elif topic.proposals:
@@ -426,7 +474,7 @@
             self._time(topic, topic.since + SWEEP_AFTER, lambda: self._sweep(topic))
 
     def _wants(self, topic: Topic) -> bool:
-        return bool(topic.proposals or topic.ending or (topic.record is not None and topic.record.state == "open"))
+        return bool(topic.proposals or topic.ending or agreement.pending(topic.record) or self.behind(topic))
 
     def _wake(self) -> None:
         if self.woken is None:
@@ -448,7 +496,7 @@
     def _look_open(self, topic: Topic, record: Record) -> None:
         now = self.loop.clock()
         if self.name in record.needs and topic.spoke < record.epoch:
-            word = self.judge(record)
+            word = self._disagrees(record) or self.judge(record)
             if word is not None:
                 self._speak(topic, record, *word)
                 return
@@ -474,6 +522,13 @@
         elif topic.box.whole:
             self._counted(topic, topic.box)
 
+    def _disagrees(self, record: Record) -> tuple[bool, str] | None:
+        """Guards against supervisors that were told different tiers: words of other members than ours would do."""
+        if record.waits is UNSET or frozenset(record.needs) == self.roll.named:
+            return None
+        odd = sorted(self.roll.named ^ frozenset(record.needs))[:4]
+        return False, f"its tiers are not those of {record.by}, by {', '.join(odd)}: give all the same --tiers"
+
     def _ballot(self, topic: Topic, node: str, data: bytes) -> None:
         try:
             ballot = agreement.read_ballot(node, data)
@@ -488,15 +543,31 @@
         record = topic.record
         if topic.box is not box or topic.busy or record is None or record.state != "open" or not self.holds():
             return
-        result = agreement.outcome(record, topic.ballots)
+        away, next_at = self._away(record, topic.ballots)
+        result = agreement.outcome(record, topic.ballots, away)
         late_at = topic.opened + record.patience
         if result is UNSET and self.loop.clock() >= late_at:
             result = agreement.impatient(record, topic.ballots)
         if result is UNSET:
-            self._time(topic, late_at, lambda: self._look(topic))
+            self._time(topic, min(late_at, next_at), lambda: self._look(topic))
         else:
             self._settle(topic, result)
 
+    def _away(self, record: Record, ballots: dict[str, Ballot]) -> tuple[frozenset[str], float]:
+        """Who of those whose word is missing counts as away, and when that may change though nothing comes. Guards
+        against a roll that is behind what the store has told: one that came back before the record was made is in it.
+        """
+        if record.waits is UNSET:
+            return frozenset(), float("inf")
+        now, after = self.loop.clock(), record.waits + self.lag
+        if not self.members.current:
+            return frozenset(), now + AGAIN
+        silent = self.roll.away(now)
+        waited = {name: silent[name] for name in agreement.missing(record, ballots) if name in silent}
+        away = frozenset(name for name, seconds in waited.items() if seconds >= after)
+        return away, min((now + after - seconds for name, seconds in waited.items() if name not in away),
+                         default=float("inf"))  # fmt: skip
+
     # ---- writing ----------------------------------------------------------------------------------------------
 
     def _write(self, request: Request, then: Callable[[int, object], object]) -> None:
@@ -536,6 +607,17 @@
 
         self._write(Create(path, agreement.write(ballot)), said)
 
+    def _copy(self, topic: Topic, record: Record) -> None:
+        try:
+            data = agreement.write(record)
+        except Barred as error:
+            self.log("copy_too_large", level="error", topic=topic.name, why=str(error))
+            return
+        topic.busy = True
+        path = f"{self.records.path}/{topic.name}"
+        request = Create(path, data) if topic.record is None else SetData(path, data, topic.stat.version)
+        self._write(request, lambda error, result: self._look_up(topic))
+
     def _settle(self, topic: Topic, record: Record) -> None:
         """The one compare-and-set that ends a proposal, or what stands."""
         topic.busy = True
@@ -603,7 +685,7 @@
     def _sweep(self, topic: Topic) -> None:
         """Takes away what binds nobody any more: words on epochs that are over, and records that are."""
         record, now = topic.record, self.loop.clock()
-        if topic.busy or record is None or record.state == "open" or not self.holds() or not self._leads():
+        if topic.busy or record is None or agreement.pending(record) or not self.holds() or not self._leads():
             return
         path, kept = f"{self.records.path}/{topic.name}", agreement.binds(record, now - topic.since, self.lease.drift)
         topic.swept = True
@@ -653,6 +735,10 @@
         self.stopped = True
         self.chair.stop()
 
+    def view_whole(self) -> dict:
+        """What a fleet in tiers knows of the whole, by name; nothing in a flat one."""
+        return {}
+
     def view(self) -> dict:
         """What `driftshed fleet` shows, from this supervisor's eyes."""
         now = self.loop.clock()
--- a/driftshed/coordination/agreement.py
+++ b/driftshed/coordination/agreement.py
@@ -41,7 +41,7 @@
 
     topic: str
     epoch: Annotated[int, Meta(ge=1)]
-    state: Literal["open", "settled", "void", "ended"]
+    state: Literal["open", "ready", "refused", "settled", "void", "ended"]
     by: str
     token: str
     body: object
@@ -52,6 +52,11 @@
     standing: Standing | None = None
     why: Why = ""
     passed: bool = False  # its own proposal was settled; also told once what stood is ended
+    # In tiers alone. `copied`: of a record of the fleet above, whose word ends it; `waits`: seconds of silence after
+    # which one that is named counts as away, so that its word is not needed; `away`: who counted so in the end.
+    copied: bool | UnsetType = UNSET
+    waits: Annotated[float, Meta(ge=0)] | UnsetType = UNSET
+    away: tuple[str, ...] | UnsetType = UNSET
 
 
 class Ballot(Struct, frozen=True):
@@ -101,6 +106,11 @@
     return ballot
 
 
+def pending(record: Record | None) -> bool:
+    """Whether it is not known yet what becomes of a record: words are missing, or the word of the fleet above."""
+    return record is not None and record.state in ("open", "ready", "refused")
+
+
 def check(topic: str, needs: tuple[str, ...], quorum: int, patience: float) -> None:
     """Barred where a proposal like this could never be settled."""
     if not TOPIC.fullmatch(topic):
@@ -115,17 +125,49 @@
 
 def proposed(
     old: Record | None, topic: str, epoch: int, by: str, token: str, body: object, needs: tuple[str, ...],
-    quorum: int, patience: float, binds_for: float | None = None,
+    quorum: int, patience: float, binds_for: float | None = None, waits: float | UnsetType = UNSET,
 ) -> Record:  # fmt: skip
     """The record that a proposal makes of what is there. Barred while another proposal is open, or where the epoch
     would not rise."""
     check(topic, needs, quorum, patience)
-    if old is not None and old.state == "open":
+    if pending(old):
         raise Barred(f"{topic}: epoch {old.epoch} of {old.by} is open")
     if old is not None and epoch <= old.epoch:
         raise Barred(f"{topic}: epoch {epoch} is not above {old.epoch}")
     standing = old.standing if old is not None else None
-    return Record(topic, epoch, "open", by, token, body, needs, quorum, patience, binds_for, standing)
+    return Record(topic, epoch, "open", by, token, body, needs, quorum, patience, binds_for, standing, waits=waits)
+
+
+def copied(old: Record | None, above: Record, by: str, needs: tuple[str, ...]) -> Record | None:
+    """What a fleet whose record is `old` is to hold of a record of the fleet above; None where `old` will do. What is
+    open above is asked below; what ended above ends below, also where the word from below was not waited for."""
+    if old is not None and old.epoch > above.epoch:
+        return None
+    if pending(above):
+        if old is not None and old.epoch == above.epoch:
+            return None
+        return Record(
+            above.topic, above.epoch, "open", by, above.token, above.body, needs, len(needs), above.patience,
+            above.binds_for, above.standing, copied=True, waits=above.waits,
+        )  # fmt: skip
+    if old is None and above.standing is None:
+        return None
+    if old is not None and (old.epoch, old.state, old.standing) == (above.epoch, above.state, above.standing):
+        return None
+    if old is None or old.epoch < above.epoch:
+        old = Record(
+            above.topic, above.epoch, "open", by, above.token, above.body, needs, len(needs), above.patience,
+            above.binds_for, copied=True, waits=above.waits,
+        )  # fmt: skip
+    return replace(old, state=above.state, standing=above.standing, passed=above.passed, why=above.why)
+
+
+def word_above(record: Record | None, epoch: int) -> tuple[bool, str] | None:
+    """The word of a fleet, in the fleet above it, on the record of an epoch: what its own copy came to, whoever gives
+    it. None while that is open."""
+    if record is None or record.epoch != epoch or record.state == "open":
+        return None
+    return record.state not in ("refused", "void"), record.why
 
 
 def settled(record: Record) -> Record:
@@ -135,9 +177,10 @@
 
 
 def voided(record: Record, why: str) -> Record:
-    """What stood before stands on."""
+    """What stood before stands on. Guards against a copy taken for ended because somebody here objects: the fleet above
+    may have done without the word from here, so it is refused until the end from above is known."""
     _open(record)
-    return replace(record, state="void", why=why[:1024])
+    return replace(record, state="void" if record.copied is UNSET else "refused", why=why[:1024])
 
 
 def ended(record: Record, epoch: int, why: str) -> Record:
@@ -145,7 +188,7 @@
     if record.standing is None or record.standing.epoch != epoch:
         stands = "nothing" if record.standing is None else f"epoch {record.standing.epoch}"
         raise Barred(f"{record.topic}: {stands} stands, not epoch {epoch}")
-    if record.state == "open":
+    if pending(record):
         raise Barred(f"{record.topic}: epoch {record.epoch} of {record.by} is open")
     return replace(record, state="ended", standing=None, why=why[:1024])
 
@@ -155,13 +198,17 @@
         raise Barred(f"{record.topic}: epoch {record.epoch} is {record.state}")
 
 
-def outcome(record: Record, ballots: dict[str, Ballot]) -> Record | UnsetType:
+def outcome(record: Record, ballots: dict[str, Ballot], away: frozenset[str] = frozenset()) -> Record | UnsetType:
     """What the words that were given make of an open record; UNSET while they are too few. Words are for good, so what
-    is read late or in part never brings another outcome than what is read whole."""
+    is read late or in part never brings another outcome than what is read whole. `away`: whose word is not needed. A
+    copy that all assent to is ready: the fleet above has the last word."""
     words = [ballots[name] for name in record.needs if name in ballots and ballots[name].epoch == record.epoch]
     objections = [word for word in words if not word.assent]
-    if len(words) - len(objections) >= record.quorum:
-        return settled(record)
+    without = sorted(away & set(missing(record, ballots)))
+    if len(words) - len(objections) + len(without) >= record.quorum:
+        if without:
+            record = replace(record, away=tuple(without))
+        return settled(record) if record.copied is UNSET else replace(record, state="ready")
     if len(record.needs) - len(objections) < record.quorum:
         return voided(record, "; ".join(f"{word.name}: {word.why}" for word in objections))
     return UNSET
@@ -179,7 +226,7 @@
 
 def newer(record: Record, than: Record | None) -> bool:
     """Whether a record that was read may take the place of the one that is held: what is seen of a topic only rises."""
-    rank = ("open", "void", "settled", "ended")
+    rank = ("open", "ready", "refused", "void", "settled", "ended")
     if than is None or record.epoch != than.epoch:
         return than is None or record.epoch > than.epoch
     return rank.index(record.state) >= rank.index(than.state)
@@ -188,7 +235,7 @@
 def binds(record: Record, seen_for: float, drift: float) -> bool:
     """Whether anybody may still go by what the record says. `seen_for`: seconds since whoever asks first saw it as it
     is; others saw it later at the most by the drift of their clocks and may still hold to it."""
-    if record.state == "open":
+    if pending(record):
         return True
     standing = record.standing
     return standing is not None and (standing.binds_for is None or seen_for < standing.binds_for * (1 + 2 * drift))
--- a/driftshed/coordination/command.py
+++ b/driftshed/coordination/command.py
@@ -98,5 +98,13 @@
             text += f"; words: {said}; waits for {', '.join(waits_for(record, words)) or 'nobody'}"
         console.print(text + (f" ({record['why']})" if record["why"] else ""), highlight=False)
     if view["by"] is not None:
+        if view.get("cell"):
+            whole, speaks = view["whole"], " and ".join(view["speaks_for"])
+            text = f"cell {view['cell']} of region {view['region']}" + (f"; speaks for {speaks}" if speaks else "")
+            text += "" if view["acts"] else "; may not act on what was agreed above"
+            console.print(text, highlight=False)
+            if whole:
+                console.print(f"the whole: {whole['living']} of {whole['expected']} live, {whole['leaving']} leave, "
+                              f"{whole['silent']} are silent", highlight=False)  # fmt: skip
         lease = "holds no lease" if view["lease"] is None else f"lease for {view['lease']:.2f} s more"
         console.print(f"seen by {view['by']}, start {view['incarnation']}, {view['standing']}, {lease}")
--- a/driftshed/coordination/folder.py
+++ b/driftshed/coordination/folder.py
@@ -23,13 +23,21 @@
         self.ask, self.path, self.on_child, self.on_gone = ask, path, on_child, on_gone
         self.on_whole, self.on_missing, self.changing = on_whole, on_missing, changing
         self.names: set[str] = set()  # whose data is known or asked for
-        self.reading = 0
+        self.reading = self.listing = 0
         self.listed = self.whole = False
 
+    @property
+    def current(self) -> bool:
+        """Whether all that the store has told of it so far has been read."""
+        return self.whole and not self.reading and not self.listing
+
     def begin(self) -> None:
         """Lists the folder, and reads whom it does not know."""
 
+        self.listing += 1
+
         def got(error: int, result: object) -> None:
+            self.listing -= 1
             if error == OK:
                 self._listed(set(result[0]))
             elif error == NO_NODE:
@@ -94,4 +102,43 @@
 
     def forget(self) -> None:
         """A new session: nothing is watched, and nothing is under way."""
-        self.names, self.reading, self.listed, self.whole = set(), 0, False, False
+        self.names, self.reading, self.listing, self.listed, self.whole = set(), 0, 0, False, False
+
+
+class Names:
+    """Keeping the names of a folder's nodes read, and nothing of their data. `on_change()` when they were read anew.
+    `current`: whether all that the store has told of the folder so far has been read; `unmade`: the folder is not there,
+    and as nobody tells when it comes it is to be asked for again."""
+
+    def __init__(self, ask: Ask, path: str, on_change: Callable[[], object] = lambda: None) -> None:
+        self.ask, self.path, self.on_change = ask, path, on_change
+        self.names: frozenset[str] = frozenset()
+        self.listing, self.listed, self.unmade = 0, False, False
+
+    @property
+    def current(self) -> bool:
+        return self.listed and not self.listing
+
+    def begin(self) -> None:
+        self.listing += 1
+
+        def got(error: int, result: object) -> None:
+            self.listing -= 1
+            if error in (OK, NO_NODE):
+                self.listed, self.unmade = True, error == NO_NODE
+                self.names = frozenset(result[0] if error == OK else ())
+                self.on_change()
+
+        self.ask(GetChildren(self.path, True), got)
+
+    def heard(self, event: Event) -> bool:
+        if event.path != self.path:
+            return False
+        self.begin()
+        return True
+
+    def away(self) -> None:
+        self.listed = False
+
+    def forget(self) -> None:
+        self.listing, self.listed = 0, False
--- a/driftshed/coordination/members.py
+++ b/driftshed/coordination/members.py
@@ -9,7 +9,7 @@
 from typing import Annotated, Literal, NamedTuple
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 MOST_BYTES = 16384  # of a node's data
 MOST_STRANGERS = 64  # kept besides the expected ones
@@ -20,6 +20,16 @@
     """A node that says nothing that can be used; the text says why."""
 
 
+class Digest(Struct, frozen=True):
+    """What a fleet is, in a word of bounded size. `policies`: how many of the living run which version."""
+
+    expected: Annotated[int, Meta(ge=0)] = 0
+    living: Annotated[int, Meta(ge=0)] = 0
+    leaving: Annotated[int, Meta(ge=0)] = 0
+    silent: Annotated[int, Meta(ge=0)] = 0
+    policies: Annotated[dict[str, int], Meta(max_length=8)] = {}
+
+
 class Member(Struct, frozen=True):
     """A supervisor as it announces itself. A reader takes what it knows of it: a newer build may say more."""
 
@@ -32,6 +42,7 @@
     zones: dict[str, int] = {}  # of these proxies
     inside: dict[str, str] = {}  # of zones whose own proxies it serves, while one is in question: what these met there
     incarnation: Annotated[int, Meta(ge=0)] = 0
+    digest: Digest | UnsetType = UNSET  # of a fleet that it speaks for
 
 
 DECODER = msgspec.json.Decoder(Member)
@@ -90,6 +101,8 @@
 
     def __init__(self, expected: tuple[str, ...], now: float) -> None:
         self.expected, self.began = expected, now
+        self.named = frozenset(expected)
+        self.read_at: float | None = None  # since when all that come and go are seen, None while they are not
         self.nodes: dict[str, Present] = {}  # by node
         self.highest: dict[str, int] = {}  # incarnation, of each name that was ever seen
         self.starts: dict[str, int] = {}  # seen beyond the first
@@ -115,7 +128,7 @@
 
     def _bound(self) -> None:
         """Guards against strangers without end: those longest silent are forgotten."""
-        strangers = [name for name in self.highest if name not in self.expected]
+        strangers = [name for name in self.highest if name not in self.named]
         for name in sorted(strangers, key=lambda name: self.silent.get(name, (float("inf"), None))[0]):
             if len(strangers) <= MOST_STRANGERS or name not in self.silent:
                 break
@@ -134,7 +147,16 @@
 
     def living(self) -> dict[str, Present]:
         """The expected ones whose last start is there."""
-        return {name: present for name, present in self._by_name().items() if name in self.expected}
+        return {name: present for name, present in self._by_name().items() if name in self.named}
+
+    def away(self, now: float) -> dict[str, float]:
+        """For how many seconds at the least each expected one that has no node, of whatever start, has had none. Guards
+        against silence that is put together from before and after a time in which we saw nothing ourselves."""
+        if self.read_at is None:
+            return {}
+        there = {present.member.name for present in self.nodes.values()}
+        return {name: now - max(self.read_at, self.silent[name][0] if name in self.silent else self.read_at)
+                for name in self.expected if name not in there}  # fmt: skip
 
     def order(self) -> list[str]:
         """The living, the longest there first: the first has the lead. It has no right that a compare-and-set does not
@@ -157,11 +179,11 @@
             if name in by_name:
                 present = by_name[name]
                 state = "leaving" if present.member.state == "leaving" else "living"
-                state = state if name in self.expected else "stranger"
+                state = state if name in self.named else "stranger"
                 rows.append(Row(name, state, now - present.since, starts, present.member))
             elif name in self.silent:
                 since, member = self.silent[name]
                 rows.append(Row(name, "silent", now - since, starts, member))
-            elif name in self.expected:
+            elif name in self.named:
                 rows.append(Row(name, "never seen", now - self.began, starts, None))
         return rows
--- a/driftshed/coordination/taking_part.py
+++ b/driftshed/coordination/taking_part.py
@@ -6,12 +6,15 @@
 from collections import Counter
 from collections.abc import Callable
 from importlib.metadata import version
+from pathlib import Path
 
 import click
 
 from driftshed.coordination.agent import Agent
 from driftshed.coordination.members import BadMember, Member, check_name
 from driftshed.coordination.parting import apart
+from driftshed.coordination.tiered import Tiered
+from driftshed.coordination.tiers import BadTiers, Tiers, read_tiers
 from driftshed.coordination.view import plain
 from driftshed.net.loop import Timers
 from driftshed.net.stream import Stream, dial
@@ -34,17 +37,33 @@
     return names
 
 
+def tiers_of(name: str, file: Path) -> Tiers:
+    """The tiers of a file in which this supervisor has a place; click.BadParameter names the flag and the remedy."""
+    try:
+        tiers = read_tiers(file.read_text())
+        tiers.place(name)
+        return tiers
+    except (OSError, UnicodeDecodeError) as error:
+        raise click.BadParameter(f"{file}: {error}; name a file that can be read", param_hint="--tiers") from None
+    except BadTiers as error:
+        raise click.BadParameter(f"{file}: {error}", param_hint="--tiers or --name") from None
+
+
 def take_part(
     loop: Timers, service: Service, hosts: list[tuple[str, int]], root: str, name: str, expected: str, timeout: float,
     log: Callable[..., object], advertise: str = "", seed: int | None = None, dial: Callable[..., Stream] = dial,
+    tiers: Tiers | None = None,
 ) -> Agent:  # fmt: skip
     """Joins the fleet; `seed` of chance, drawn unless given. What the supervisor does by itself does not wait for it,
-    and stays as it is without it."""
+    and stays as it is without it. With `tiers` these say which fleet, whom it expects and where its store is, and
+    `hosts`, `root` and `expected` are not looked at; BadTiers where `name` is in none."""
     host, port = service.address
     member = Member(name, advertise or f"{host}:{port}", version("driftshed"))
-    names = roll_of(name, expected)
     seed = int.from_bytes(os.urandom(6), "big") if seed is None else seed
-    agent = Agent(loop, hosts, root, member, names, timeout, seed, log, dial)
+    if tiers is not None:
+        agent = Tiered(loop, tiers, member, timeout, seed, log, dial)
+    else:
+        agent = Agent(loop, hosts, root, member, roll_of(name, expected), timeout, seed, log, dial)
     service.living = lambda: agent.addresses
     service.views["fleet"] = lambda: plain(agent.view())
     zones = service.instance.facts.zones
--- a/driftshed/policy/change.py
+++ b/driftshed/policy/change.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from driftshed.coordination.tiers import everywhere
 from driftshed.policy import document as policies
 from driftshed.policy.document import BadDocument, Document
 
@@ -121,11 +122,13 @@
     return not known.doubt and now < known.lease_until + known.despite_after * (1 - known.drift)
 
 
-def everywhere_within(timeout: float, ahead: float, drift: float) -> float:
+def everywhere_within(timeout: float, ahead: float, drift: float, tiers: int = 1) -> float:
     """Seconds from the settling of a change until no two supervisors' orders rest on different versions. Whoever holds
     a lease has had an answer to what it sent less than a time-out ago, and with it the word that the record changed if
-    it had changed by then; past its lease it is in doubt and holds still."""
-    return timeout * (1 + drift) + ANSWER_AFTER + ahead
+    it had changed by then; past its lease it is in doubt and holds still. In tiers the region's lease and what its last
+    beat proves come one after the other, and each tier reads."""
+    lasts = timeout * (1 + drift) if tiers == 1 else everywhere(timeout, drift)
+    return lasts + ANSWER_AFTER * tiers + ahead
 
 
 class Course:
--- a/driftshed/policy/command.py
+++ b/driftshed/policy/command.py
@@ -112,6 +112,11 @@
     for name, (state, version) in view["members"].items():
         table.add_row(name, state, "-" if version is None else str(version))
     Console(width=120).print(table)
+    if view.get("whole"):
+        whole = view["whole"]
+        runs = ", ".join(f"{count} run {version}" for version, count in whole["policies"].items())
+        click.echo(f"the whole: {whole['living']} of {whole['expected']} live, {whole['leaving']} leave, "
+                   f"{whole['silent']} are silent; {runs}")  # fmt: skip
     if view["cannot"]:
         click.echo(f"{view['by']}: {view['cannot']}")
     if view["holds_still"]:
@@ -143,6 +148,14 @@
         if mine["state"] == "settled":
             behind = [name for name, (state, runs) in view["members"].items()
                       if state == "living" and (runs or 0) < version]  # fmt: skip
+            whole = view.get("whole")
+            if whole is not None and behind_in(whole, version):
+                behind.append("others")
+            if not behind and whole is not None:
+                rest = whole["leaving"] + whole["silent"]
+                text = f"version {version} holds at all {whole['living']} that live"
+                click.echo(text + (f"; {rest} are away or leave" if rest else ""))
+                return
             if not behind:
                 away = [name for name, (state, _) in view["members"].items() if state != "living"]
                 click.echo(f"version {version} holds everywhere" + (f"; away: {', '.join(away)}" if away else ""))
@@ -153,6 +166,13 @@
         time.sleep(LOOK_EVERY)
 
 
+def behind_in(whole: dict, version: int) -> int:
+    """How many of the living of a fleet in tiers are not known to run this version yet, by its digest."""
+    return whole["living"] + whole["leaving"] - sum(
+        count for each, count in whole["policies"].items() if int(each) >= version
+    )  # fmt: skip
+
+
 def _propose(supervisor: str, wait: bool, most: float, body: dict) -> None:
     answer = ask(supervisor, {"who": getpass.getuser(), **body})
     click.echo(f"proposed: version {answer['version']}, {answer['digest']}")
--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -8,7 +8,7 @@
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct
 
 from driftshed.coordination import agreement
 from driftshed.coordination.agent import Agent, Proposal
@@ -27,6 +27,7 @@
     next_change,
     read_change,
     undoing,
+    waited_out,
     word,
 )
 from driftshed.policy.document import BadDocument, Document
@@ -65,6 +66,7 @@
         self.document: Document | None = None  # that it goes by
         self.last: tuple[Change, Document] | None = None  # what it went by before
         self.faults, self.undone = 0, 0
+        self.undo_at: float | None = None  # when a policy that the module cannot bear is to be taken back from here
         self.was_still, self.held_until = False, float("-inf")
         self.known = False  # whether it was ever read what stands
         self.cannot = ""  # why what stands cannot be gone by here
@@ -105,16 +107,19 @@
         """Whether a change may be settled unheard: we have assented to it, or it does without our word."""
         topic = self.agent.topics.get(TOPIC)
         record = topic.record if topic is not None else None
-        open_without = record is not None and record.state == "open" and self.agent.name not in record.needs
-        return bool(self.assented) or open_without
+        open_without = agreement.pending(record) and self.agent.name not in record.needs
+        return bool(self.assented) or open_without or self.agent.undecided(TOPIC)
+
+    def _despite_after(self) -> float:
+        return DESPITE_AFTER if self.document is None else self.document.despite_after
 
     def _holds_still(self) -> bool:
         due = self.course.next is not None and (self.course.runs is None or self.loop.clock() >= self.course.next[2])
         if not self.known or due:
             return True  # what stands comes before the next order, also for one that was stopped at its moment
-        despite_after = DESPITE_AFTER if self.document is None else self.document.despite_after
-        if holds := self.agent.holds() and self.agent.records.whole:
-            self.held_until = self.agent.lease_until()
+        despite_after = self._despite_after()
+        if holds := self.agent.acts() and self.agent.records.whole:
+            self.held_until = self.agent.acts_until()
         fenced = self.agent.chair.standing is Standing.FENCED
         known = Known(holds, self.held_until, fenced, self._doubt(), bool(self.cannot), despite_after,
                       self.agent.lease.drift)  # fmt: skip
@@ -132,7 +137,7 @@
         if standing is not None:
             self._stands(standing)
         for epoch, kept in list(self.assented.items()):
-            ended = epoch < record.epoch or record.state != "open"
+            ended = epoch < record.epoch or not agreement.pending(record)
             if ended and (standing is None or epoch != standing.epoch):
                 self._write(kept._replace(state="void"))
                 del self.assented[epoch]
@@ -235,11 +240,12 @@
         if was is not None and not change.undoes:
             self.last = was, self.document
         self.instance.switch(self._facts(document), change.version, self.loop.clock())
-        self.document, self.faults = document, self.instance.faults
+        self.document, self.faults, self.undo_at = document, self.instance.faults, None
         evacuation = getattr(self.agent, "evacuation", None)
         if evacuation is not None:
             evacuation.limits = read_limits(policies.limits_text(document))
         self.agent.say(policy=change.version)
+        self.agent.look()
         self.log("policy", version=change.version, digest=change.digest, undoes=change.undoes)
         self.service.soon()
 
@@ -251,6 +257,10 @@
         found = undoing(standing, self.last, self.instance.faults - self.faults, since, self.document.guard_for)
         if found is None or self.undone == standing.version or not self.agent.holds():
             return
+        if self.undo_at is None:
+            self.undo_at = self.loop.clock() + self.agent.herd_wait(self.document.guard_for / 2)
+        if self.loop.clock() < self.undo_at:
+            return
         self.undone = standing.version
         document, why = found
         self.log("policy_taken_back", level="error", version=standing.version, why=why)
@@ -263,8 +273,9 @@
 
     def _away(self) -> dict[str, float | None]:
         """For how long each expected supervisor has been silent; None of those that live."""
-        rows = self.agent.roll.rows(self.loop.clock())
-        return {row.name: None if row.state in ("living", "leaving") else row.since for row in rows}
+        roll, now = self.agent.roll, self.loop.clock()
+        living, away = roll.living(), roll.away(now)
+        return {name: None if name in living else away.get(name, 0.0) for name in roll.expected}
 
     def _word(self, record: agreement.Record) -> tuple[bool, str] | None:
         if record.epoch in self.assented:
@@ -273,7 +284,12 @@
             change, document = read_change(record.body)
         except BadChange as error:
             return False, str(error)
-        despite_after = DESPITE_AFTER if self.document is None else self.document.despite_after
+        despite_after = self._despite_after()
+        waits = waited_out(despite_after, self.agent.lease.drift)
+        if self.agent.tiers > 1 and (record.waits is UNSET or record.waits < waits - 1e-9):
+            return False, f"it waits for the silent for less than the {waits:g} s that they may go on by themselves"
+        if self.agent.tiers > 1 and self.course.next is not None and not self.cannot:
+            return None  # it is asked again once it has taken up what stands: one that returns holds nobody up
         behind = self.cannot or ("" if self.course.next is None else "it is about to go by another version")
         said, why = word(self._change_of(record.standing), change, document, self._away(), despite_after,
                          self.agent.lease.drift, behind or self._unfit(document))  # fmt: skip
@@ -289,7 +305,9 @@
 
     def _propose(self, change: Change, patience: float) -> None:
         needs = self._needs(change)
-        self.mine = self.agent.propose(TOPIC, msgspec.to_builtins(change), needs, len(needs), patience, self._ended)
+        waits = waited_out(self._despite_after(), self.agent.lease.drift) if self.agent.tiers > 1 else UNSET
+        self.mine = self.agent.propose(TOPIC, msgspec.to_builtins(change), needs, len(needs), patience, self._ended,
+                                       waits=waits)  # fmt: skip
 
     def _ended(self, proposal: Proposal) -> None:
         self.log("policy_ended", state=proposal.state, epoch=proposal.epoch, why=proposal.why)
@@ -313,6 +331,8 @@
             raise Refused(400, str(error)) from None
         except BadChange as error:
             raise Refused(409, str(error)) from None
+        if asked.despite and self.agent.tiers > 1:
+            raise Refused(400, "in tiers those that are silent for long enough are done without: leave --despite out")
         strangers = [name for name in asked.despite if name not in self.agent.roll.expected or name == self.agent.name]
         if strangers:
             raise Refused(400, f"{', '.join(strangers)}: not another supervisor of this fleet")
@@ -352,8 +372,9 @@
             "next": None if self.course.next is None else self.course.next[0].version,
             "last_proposal": None if mine is None else
             {"token": mine.token, "state": mine.state, "why": mine.why, "epoch": mine.epoch},
-            "everywhere_within": everywhere_within(self.agent.timeout, ahead, self.agent.lease.drift),
+            "everywhere_within": everywhere_within(self.agent.timeout, ahead, self.agent.lease.drift,
+                                                   self.agent.tiers),
             "members": {row.name: [row.state, row.member.policy if row.member else None]
                         for row in self.agent.roll.rows(self.loop.clock())},
-            "history": [kept._asdict() for kept in self.keep.history()],
+            "history": [kept._asdict() for kept in self.keep.history()], **self.agent.view_whole(),
         }  # fmt: skip
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -48,6 +48,7 @@
 @option("name", default="", help="this supervisor's name in the fleet, the same at each start")
 @option("expected", default="", help="NAME,... of all supervisors of the fleet, this one's among them")
 @option("fleet-timeout", type=click.FloatRange(0.1, 60), default=6.0, help="seconds of silence that end its session")
+@option("tiers", type=click.Path(dir_okay=False, path_type=Path), help="file of a fleet in tiers, of which it is one")
 @option("leave-zones", is_flag=True, default=False, help="leave zones that fail and return to them, as a fleet")
 @option("zone-limits", default="", help="lasting=4,pace=2,step=0.5,trickle=0.1,rest=10,rest_most=160,ceiling=0.5")
 @option("regions", default="", help="REGION=ZONE+ZONE,...: zones that are left as one where they fail as one")
@@ -57,8 +58,8 @@
     listen: str, seed: int, wait_most: float, silence: float, connections: int, body_bytes: int, log_form: str,
     log_level: str, trace: Path | None, trace_size: float, trace_age: float, trace_fsync: float, connect: str,
     root: str, session_timeout: float, lapse_hold: float, lapse_hold_most: float, fleet_connect: str,
-    fleet_root: str, advertise: str, name: str, expected: str, fleet_timeout: float, leave_zones: bool,
-    zone_limits: str, regions: str, policy_folder: Path | None, **given: object,
+    fleet_root: str, advertise: str, name: str, expected: str, fleet_timeout: float, tiers: Path | None,
+    leave_zones: bool, zone_limits: str, regions: str, policy_folder: Path | None, **given: object,
 ) -> None:  # fmt: skip
     """Runs a supervisor until SIGTERM or SIGINT. Its first line on standard output says where it listens."""
     host, _, port = listen.rpartition(":")
@@ -91,7 +92,15 @@
         service.followed, instance.on_answered = connect, follower.answered
 
     agent = None
-    if fleet_connect:  # Not imported else: a supervisor by itself needs nothing of it.
+    if tiers is not None:  # Not imported else: a supervisor by itself needs nothing of it.
+        from driftshed.coordination.taking_part import leave, take_part, tiers_of
+
+        for flag, given_too in (("fleet-connect", fleet_connect), ("expected", expected), ("leave-zones", leave_zones)):
+            if given_too:
+                text = f"--{flag} does not go with it: the file says who is there; zones are left by a flat fleet alone"
+                raise click.BadParameter(text, param_hint="--tiers")
+        agent = take_part(loop, service, [], "", name, "", fleet_timeout, log, advertise, tiers=tiers_of(name, tiers))
+    elif fleet_connect:
         from driftshed.coordination.taking_part import leave, take_part
 
         agent = take_part(loop, service, hosts_of(fleet_connect, "fleet-connect"), check_root(fleet_root), name,
@@ -111,12 +120,14 @@
 
     if policy_folder is not None:
         if agent is None:
-            raise click.BadParameter("a policy is a fleet's: give --fleet-connect too", param_hint="--policy-folder")
+            text = "a policy is a fleet's: give --fleet-connect or --tiers too"
+            raise click.BadParameter(text, param_hint="--policy-folder")
         from driftshed.policy.keep import BadKeep, Keep
         from driftshed.policy.part import PolicyPart
 
         try:
-            PolicyPart(loop, service, agent, Keep(policy_folder, fleet_root, name), log)
+            fleet = fleet_root if tiers is None else "tiers"
+            PolicyPart(loop, service, agent, Keep(policy_folder, fleet, name), log)
         except BadKeep as error:
             raise click.BadParameter(str(error), param_hint="--policy-folder") from None
 
--- /dev/null
+++ b/tests/test_tiers_decisions.py
@@ -0,0 +1,246 @@
+"""What is decided of a fleet in tiers, without any I/O: the file, beats, who speaks, copies, words, digests."""
+
+import pytest
+
+from driftshed.coordination import agreement, tiers
+from driftshed.coordination.agreement import Ballot, Record, Standing
+from driftshed.coordination.members import Digest, Member, Roll
+from driftshed.coordination.tiers import BadTiers, Beat, Beats, read_tiers
+
+FILE = """
+form = 1
+stores = "127.0.0.2:2181"
+[[regions]]
+name = "north"
+stores = "127.0.0.3:2181,127.0.0.4:2181"
+[[regions.cells]]
+name = "n1"
+members = ["n1a", "n1b"]
+[[regions.cells]]
+name = "n2"
+members = ["n2a"]
+[[regions]]
+name = "south"
+stores = "127.0.0.5:2181"
+[[regions.cells]]
+name = "s1"
+members = ["s1a", "s1b", "s1c"]
+"""
+
+
+def test_a_supervisor_finds_its_place_in_three_fleets():
+    place = read_tiers(FILE).place("n1b")
+    assert place.cell == ("n1b", "/driftshed/cells/n1", [("127.0.0.3", 2181), ("127.0.0.4", 2181)], ("n1a", "n1b"), {})
+    assert (place.region.name, place.region.root) == ("n1", "/driftshed/regions/north")
+    assert place.region.expected == ("n1", "n2")
+    assert place.region.hosts == place.cell.hosts and place.region.sizes == {"n1": 2, "n2": 1}
+    assert place.whole[:4] == ("north", "/driftshed/whole", [("127.0.0.2", 2181)], ("north", "south"))
+    assert place.whole.sizes == {"north": 3, "south": 3} and read_tiers(FILE).supervisors() == 6
+
+
+NAMES = ", ".join(f'"m{k}"' for k in range(65))
+
+
+@pytest.mark.parametrize("old, new, says", [
+    ('members = ["n2a"]', f"members = [{NAMES}]", "65 members in cell n2, 64 at the most: move some to another cell"),
+    ('name = "n2"', 'name = "n 2"', "a cell: 'n 2': a name of letters"),
+    ('name = "n2"', 'name = ".."', "'..' is no name"),
+    ('name = "n2"', 'name = "n1"', "'n1' is a cell and a cell: each name stands once"),
+    ('"s1c"', '"n1a"', "'n1a' is a member of n1 and a member of s1"),
+    ('name = "south"', 'name = "n1"', "'n1' is a cell and a region: each name stands once"),
+    ('members = ["n2a"]', "members = []", "length >= 1"),
+    ('"127.0.0.5:2181"', '"10.0.0.5:2181"', "stores of south: '10.0.0.5:2181': write loopback address and port"),
+    ('"127.0.0.5:2181"', '""', "stores of south: name at least one"),
+    ('stores = "127.0.0.2:2181"', "", "missing required field `stores`"),
+    ("form = 1", "form = 2", "form 2 is newer than this build reads (1): update driftshed"),
+    ("form = 1", "form = ", "no TOML"),
+    ("form = 1", "form = 1\nroot = \"driftshed\"", "root 'driftshed': write a path such as /driftshed"),
+    ("form = 1", "form = 1\nspeed = 3", "unknown field"),
+])  # fmt: skip
+def test_a_file_that_cannot_be_is_refused_with_the_remedy(old, new, says):
+    assert FILE.count(old) >= 1
+    with pytest.raises(BadTiers) as told:
+        read_tiers(FILE.replace(old, new, 1))
+    assert says in str(told.value)
+
+
+def test_65_cells_and_65_regions_are_refused():
+    cells = "".join(f'[[regions.cells]]\nname = "c{k}"\nmembers = ["m{k}"]\n' for k in range(65))
+    with pytest.raises(BadTiers, match="65 cells in region far, 64 at the most"):
+        read_tiers(FILE + f'[[regions]]\nname = "far"\nstores = "127.0.0.6:2181"\n{cells}')
+    regions = "".join(f'[[regions]]\nname = "r{k}"\nstores = "127.0.0.6:2181"\n[[regions.cells]]\nname = "c{k}"\n'
+                      f'members = ["m{k}"]\n' for k in range(63))  # fmt: skip
+    with pytest.raises(BadTiers, match="65 regions in the whole, 64 at the most"):
+        read_tiers(FILE + regions)
+
+
+def test_one_that_is_in_no_cell_is_told_what_to_do():
+    with pytest.raises(BadTiers, match="'n9' is in no cell: name it among the members of one, or give another --name"):
+        read_tiers(FILE).place("n9")
+
+
+# ---- beats --------------------------------------------------------------------------------------------------------
+
+
+def test_a_beat_counts_from_the_last_poll_that_read_one_two_older():
+    beats = Beats(4.0, 0.0)
+    beats.heard(Beat("a", "r", 5), 10.0, 10.1)
+    beats.heard(Beat("a", "r", 6), 10.5, 10.6)
+    assert beats.until == float("-inf")  # the one before may have been sent long ago and come late
+    beats.heard(Beat("a", "r", 7), 11.0, 11.1)
+    assert beats.until == 10.0 + 3.0  # number 6 took effect after the poll of 10.0 was asked, and 7 was made after that
+    beats.heard(Beat("a", "r", 7), 11.5, 11.6)
+    assert beats.until == 13.0  # nothing new, nothing proven
+
+
+def test_a_beat_that_was_held_up_proves_nothing_of_when_it_came():
+    beats = Beats(4.0, 0.0)
+    for number, asked in ((1, 0.0), (2, 0.5), (3, 1.0)):
+        beats.heard(Beat("a", "r", number), asked, asked)
+    assert beats.until == 3.0
+    for k in range(20):  # the next one is in a pipe; it was made before it went in
+        beats.heard(Beat("a", "r", 3), 1.5 + k, 1.5 + k)
+    beats.heard(Beat("a", "r", 4), 30.0, 30.0)
+    assert beats.until == 0.5 + 3.0
+
+
+def test_beats_of_another_run_count_by_themselves():
+    beats = Beats(4.0, 0.0)
+    for number, asked in ((1, 0.0), (2, 0.5), (3, 1.0)):
+        beats.heard(Beat("a", "r", number), asked, asked)
+    beats.heard(Beat("b", "q", 9), 2.0, 2.0)
+    beats.heard(Beat("b", "q", 10), 2.5, 2.5)
+    assert beats.until == 3.0
+    beats.heard(Beat("b", "q", 11), 3.0, 3.0)
+    assert beats.until == 5.0
+
+
+def test_silence_is_counted_from_the_last_new_beat_or_the_first_look():
+    beats = Beats(4.0, 0.0)
+    assert beats.quiet_for(1.0) is None
+    beats.heard(None, 1.0, 1.0)
+    assert beats.quiet_for(3.0) == 2.0
+    beats.heard(Beat("a", "r", 1), 3.0, 3.0)
+    beats.heard(Beat("a", "r", 1), 4.0, 4.0)
+    assert beats.quiet_for(5.0) == 2.0
+
+
+def test_what_is_no_beat_is_none():
+    assert tiers.read_beat(b"") is None and tiers.read_beat(b'{"by":"a","run":"r","number":0}') is None
+    assert tiers.read_beat(tiers.write_beat(Beat("a", "r", 1, Digest(3, 2)))) == Beat("a", "r", 1, Digest(3, 2))
+
+
+def test_the_next_in_the_order_speaks_later():
+    assert tiers.due_to_speak(0.0, 0, True, 4.0) and not tiers.due_to_speak(0.0, 0, False, 4.0)
+    assert not tiers.due_to_speak(1.9, 1, True, 4.0) and tiers.due_to_speak(2.0, 1, True, 4.0)
+    assert not tiers.due_to_speak(3.9, 1, False, 4.0) and tiers.due_to_speak(4.0, 1, False, 4.0)
+
+
+# ---- copies and words ---------------------------------------------------------------------------------------------
+
+STOOD = Standing(3, "old", "x", {"version": 1})
+
+
+def above(state: str = "open", epoch: int = 7, **more) -> Record:
+    given = {"standing": STOOD, "waits": 3.0} | more
+    return Record("policy", epoch, state, "north", "t7", {"version": 2}, ("north", "south"), 2, 10.0, **given)
+
+
+def test_what_is_open_above_is_asked_below_once():
+    copy = agreement.copied(None, above(), "n1", ("n1", "n2"))
+    assert (copy.state, copy.epoch, copy.token, copy.body, copy.copied) == ("open", 7, "t7", {"version": 2}, True)
+    assert (copy.needs, copy.quorum, copy.standing, copy.waits) == (("n1", "n2"), 2, STOOD, 3.0)
+    for state in ("open", "ready", "refused"):
+        assert agreement.copied(copy, above(state), "n1", ("n1", "n2")) is None
+        assert agreement.copied(None, above(state), "n1", ("n1", "n2")) == copy
+    assert agreement.copied(above(epoch=8), above(), "n1", ("n1", "n2")) is None  # a newer one is there
+
+
+@pytest.mark.parametrize("below", ["open", "ready", "refused"])
+def test_what_ended_above_ends_below_whatever_was_said_below(below):
+    copy = agreement.copied(None, above(), "n1", ("n1", "n2"))
+    copy = agreement.replace(copy, state=below)
+    new = Standing(7, "t7", "north", {"version": 2})
+    ended = agreement.copied(copy, above("settled", standing=new, passed=True), "n1", ("n1", "n2"))
+    assert (ended.state, ended.standing, ended.passed) == ("settled", new, True) and agreement.newer(ended, copy)
+    assert agreement.copied(ended, above("settled", standing=new, passed=True), "n1", ("n1", "n2")) is None
+    void = agreement.copied(copy, above("void", why="no"), "n1", ("n1", "n2"))
+    assert (void.state, void.standing, void.why) == ("void", STOOD, "no") and agreement.newer(void, copy)
+
+
+def test_what_stands_above_stands_below_though_nothing_was_asked():
+    copy = agreement.copied(None, above("void"), "n1", ("n1",))
+    assert (copy.state, copy.epoch, copy.standing) == ("void", 7, STOOD)
+    assert agreement.copied(None, above("void", standing=None), "n1", ("n1",)) is None
+
+
+def test_a_copy_that_all_assent_to_is_ready_and_one_that_somebody_objects_to_refused():
+    copy = agreement.copied(None, above(), "n1", ("n1", "n2"))
+    yes = {name: Ballot(name, 7, True) for name in ("n1", "n2")}
+    ready = agreement.outcome(copy, yes)
+    assert ready.state == "ready" and agreement.pending(ready) and ready.standing == STOOD
+    assert agreement.word_above(ready, 7) == (True, "")
+    refused = agreement.outcome(copy, yes | {"n2": Ballot("n2", 7, False, "too far")})
+    assert refused.state == "refused" and agreement.pending(refused)
+    assert agreement.word_above(refused, 7) == (False, "n2: too far")
+    late = agreement.impatient(copy, {"n1": yes["n1"]})
+    assert late.state == "refused" and "n2" in late.why
+    assert agreement.word_above(copy, 7) is None and agreement.word_above(ready, 8) is None
+    assert agreement.word_above(None, 7) is None
+
+
+def test_a_word_of_one_that_is_away_is_not_needed_and_an_objection_is_never_done_without():
+    copy = agreement.copied(None, above(), "n1", ("n1", "n2"))
+    one = {"n1": Ballot("n1", 7, True)}
+    assert agreement.outcome(copy, one) is agreement.UNSET
+    ready = agreement.outcome(copy, one, frozenset({"n2"}))
+    assert ready.state == "ready" and ready.away == ("n2",)
+    said = one | {"n2": Ballot("n2", 7, False, "no")}
+    assert agreement.outcome(copy, said, frozenset({"n2"})).state == "refused"
+
+
+def test_a_flat_fleets_record_is_written_as_before():
+    record = agreement.proposed(None, "policy", 1, "a", "t", 1, ("a",), 1, 3.0)
+    assert b"copied" not in agreement.write(record) and b"waits" not in agreement.write(record)
+    assert agreement.outcome(record, {"a": Ballot("a", 1, True)}).state == "settled"
+    assert agreement.voided(record, "no").state == "void"
+
+
+# ---- who is away --------------------------------------------------------------------------------------------------
+
+
+def test_silence_is_counted_from_when_the_roll_was_watched_without_a_gap():
+    roll = Roll(("a", "b", "c"), 0.0)
+    assert roll.away(5.0) == {}
+    roll.read_at = 1.0
+    roll.appeared("a~1", Member("a", incarnation=1), 1, 1.0)
+    roll.appeared("b~1", Member("b", incarnation=1), 2, 1.0)
+    assert roll.away(5.0) == {"c": 4.0}
+    roll.vanished("b~1", 6.0)
+    assert roll.away(8.0) == {"b": 2.0, "c": 7.0}
+    roll.read_at = 20.0  # away ourselves meanwhile
+    assert roll.away(21.0) == {"b": 1.0, "c": 1.0}
+
+
+def test_one_whose_older_start_is_still_there_is_not_away():
+    roll = Roll(("a",), 0.0)
+    roll.read_at = 0.0
+    roll.appeared("a~1", Member("a", incarnation=1), 1, 0.0)
+    roll.appeared("a~2", Member("a", incarnation=2), 2, 0.0)
+    roll.vanished("a~2", 1.0)
+    assert "a" not in roll.living() and roll.away(100.0) == {}
+
+
+# ---- digests ------------------------------------------------------------------------------------------------------
+
+
+def test_digests_of_cells_add_up_and_are_bounded():
+    roll = Roll(("a", "b", "c", "d"), 0.0)
+    for k, (name, state, policy) in enumerate((("a", "serving", 3), ("b", "leaving", 2), ("x", "serving", 9))):
+        roll.appeared(f"{name}~1", Member(name, state=state, policy=policy, incarnation=1), k, 0.0)
+    digest = tiers.digest_of(roll.rows(1.0))
+    assert digest == Digest(4, 1, 1, 2, {"3": 1, "2": 1})
+    above = tiers.digest_above({"n1": Member("n1", digest=digest), "n2": Member("n2")}, {"n1": 4, "n2": 3, "n3": 5})
+    assert above == Digest(12, 1, 1, 2 + 3 + 5, {"3": 1, "2": 1})
+    many = tiers.bounded({str(k): k for k in range(1, 9)})
+    assert many == {"8": 8, "7": 7, "6": 6, "5": 1 + 2 + 3 + 4 + 5}
