Tiers: a counter looks for the silent a hundredth late, so that rounding does not make it spin

Seen: after a speaker's death the counter's timer came again and again at the same moment of virtual time. Cause: Agent._away asked to be called at now + after - seconds, which rounding put just before the moment at which the silence counts.

--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -565,7 +565,8 @@
         silent = self.roll.away(now)
         waited = {name: silent[name] for name in agreement.missing(record, ballots) if name in silent}
         away = frozenset(name for name, seconds in waited.items() if seconds >= after)
-        return away, min((now + after - seconds for name, seconds in waited.items() if name not in away),
+        # A hundredth later: else rounding calls it just too early, again and again.
+        return away, min((now + after - seconds + 0.01 for name, seconds in waited.items() if name not in away),
                          default=float("inf"))  # fmt: skip
 
     # ---- writing ----------------------------------------------------------------------------------------------
