--- a/driftshed/coordination/folder.py
+++ b/driftshed/coordination/folder.py
@@ -107,8 +107,8 @@
 
 class Names:
     """Keeping the names of a folder's nodes read, and nothing of their data. `on_change()` when they were read anew.
-    `current`: whether all that the store has told of the folder so far has been read; `unmade`: the folder is not there,
-    and as nobody tells when it comes it is to be asked for again."""
+    `current`: whether all that the store has told of the folder so far has been read; `unmade`: the folder is not
+    there, and as nobody tells when it comes it is to be asked for again."""
 
     def __init__(self, ask: Ask, path: str, on_change: Callable[[], object] = lambda: None) -> None:
         self.ask, self.path, self.on_change = ask, path, on_change
--- a/driftshed/coordination/tiered.py
+++ b/driftshed/coordination/tiered.py
@@ -17,6 +17,7 @@
 from driftshed.coordination.tiers import Beat, Beats, Fleet, Tiers
 from driftshed.net.loop import Timers
 from driftshed.net.stream import Stream, dial
+from driftshed.roster.announce import Standing
 from driftshed.roster.jute import NO_NODE, OK, Create, GetData, SetData, Stat, Sync
 from driftshed.roster.session import State
 
@@ -135,6 +136,13 @@
 
     # ---- speaking ---------------------------------------------------------------------------------------------
 
+    def _stood(self, standing: Standing) -> None:
+        super()._stood(standing)
+        if standing is Standing.FENCED:  # another process has our name: it speaks if that falls to it
+            for part in self._parts():
+                self.loop.soon(part.leave)
+            self.guest = self.for_region = self.for_cell = None
+
     def _part(self, fleet: Fleet, member: Member, seed: str) -> Agent:
         number = Random(f"{seed} {self.run} {self.random.random()}").getrandbits(48)
         return Agent(self.loop, fleet.hosts, fleet.root, member, fleet.expected, self.timeout, number, self.log,
--- a/tests/test_tiers_decisions.py
+++ b/tests/test_tiers_decisions.py
@@ -1,7 +1,12 @@
 """What is decided of a fleet in tiers, without any I/O: the file, beats, who speaks, copies, words, digests."""
 
+import subprocess
+import sys
+
 import pytest
+from click.testing import CliRunner
 
+from driftshed.cli import main
 from driftshed.coordination import agreement, tiers
 from driftshed.coordination.agreement import Ballot, Record, Standing
 from driftshed.coordination.members import Digest, Member, Roll
@@ -244,3 +249,29 @@
     assert above == Digest(12, 1, 1, 2 + 3 + 5, {"3": 1, "2": 1})
     many = tiers.bounded({str(k): k for k in range(1, 9)})
     assert many == {"8": 8, "7": 7, "6": 6, "5": 1 + 2 + 3 + 4 + 5}
+
+
+# ---- the command line ---------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("text, more, says", [
+    (FILE.replace('"n2a"', NAMES), (), "65 members in cell n2, 64 at the most: move some to another cell"),
+    (FILE, ("--name", "n9"), "'n9' is in no cell: name it among the members of one, or give another --name"),
+    (FILE, ("--fleet-connect", "127.0.0.1:2181"), "--fleet-connect does not go with it"),
+    (FILE, ("--expected", "a,b"), "--expected does not go with it"),
+    (FILE, ("--leave-zones",), "--leave-zones does not go with it"),
+    (None, (), "name a file that can be read"),
+])  # fmt: skip
+def test_supervise_refuses_what_cannot_be_with_the_remedy(tmp_path, text, more, says):
+    file = tmp_path / "tiers.toml"
+    if text is not None:
+        file.write_text(text)
+    given = ["supervise", "--operation", "look:objective=0.5,timeout=1.5", "--name", "n1a", "--tiers", str(file), *more]
+    result = CliRunner().invoke(main, given)
+    assert result.exit_code == 2 and says in " ".join(result.output.replace("\u2502", " ").split())
+
+
+def test_one_alone_loads_nothing_of_tiers():
+    code = "import sys, driftshed.supervisor.command as c; print([m for m in sys.modules if 'tier' in m])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
