--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -337,14 +337,15 @@
                 if (row.name, row.start) in old:
                     pairs.append((old[row.name, row.start], row, seconds))
         found: dict = {"seconds": round(took, 2), "stayed": len(pairs)}
-        for sessions, role in [(0, "all"), *ROLES.items()]:
-            mine = [each for each in pairs if not sessions or (each[0].sessions == each[1].sessions == sessions)]
+        for number, role in [(0, "all"), *ROLES.items()]:
+            mine = [each for each in pairs if not number or each[0].role == each[1].role == number]
             if not mine:
                 continue
             found[role] = {
                 "n": len(mine),
                 "bytes_a_second": spread([(b.out + b.came - a.out - a.came) / s for a, b, s in mine], 1),
                 "messages_a_second": spread([(b.sent + b.got - a.sent - a.got) / s for a, b, s in mine], 2),
+                "sessions": spread([b.sessions for _, b, _ in mine], 0),
                 "watches": spread([b.watches for _, b, _ in mine], 0),
                 "roll": spread([b.roll for _, b, _ in mine], 0),
                 "records": spread([b.records for _, b, _ in mine], 0),
--- a/benchmarks/hollow_worker.py
+++ b/benchmarks/hollow_worker.py
@@ -213,11 +213,12 @@
 
 
 class Row(NamedTuple):
-    """One supervisor in a report. `sessions`: that it holds: 1, a cell's speaker 2, a region's 3. Counts are of this
-    start. `ready_after`: seconds from its start until it could act, None before; `ready_bytes`: until then."""
+    """One supervisor in a report. `role`: 1 a member, 2 the speaker of its cell, 3 that of its region too. Counts are
+    of this start. `ready_after`: seconds from its start until it could act, None before; `ready_bytes`: until then."""
 
     name: str
     start: int
+    role: int
     sessions: int
     out: int
     came: int
@@ -285,7 +286,8 @@
         wires, agents = self.seat.wires.values(), self.seat.agents()
         watched = sum(len(paths) for agent in agents for paths in agent.client.session.watched.values())
         after = None if self.ready_at is None else round(self.ready_at - self.begun, 3)
-        return Row(self.name, self.start, len(agents), sum(wire.out for wire in wires),
+        role = 1 + sum(getattr(self.agent, part, None) is not None for part in ("for_cell", "for_region"))
+        return Row(self.name, self.start, role, len(agents), sum(wire.out for wire in wires),
                    sum(wire.came for wire in wires), sum(wire.sent for wire in wires), sum(wire.got for wire in wires),
                    watched, sum(len(agent.topics) for agent in agents), sum(len(agent.roll.nodes) for agent in agents),
                    self.runs(), round(self.seat.cpu, 6), after, self.ready_bytes, self.ready_messages)  # fmt: skip
