--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -310,6 +310,8 @@
             "spread_over_s": within, "all_ready_s": round(all_ready, 2),
             "ready_after_s": spread([row.ready_after for row in rows if row.ready_after is not None]),
             "bytes_until_ready": spread([row.ready_bytes for row in rows], 0),
+            "bytes_until_read": spread([row.read_bytes for row in rows], 0),
+            "messages_until_read": spread([row.read_messages for row in rows], 0),
             "bytes_of_all_joining": spread([row.out + row.came for row in rows], 0),
             "messages_of_all_joining": spread([row.sent + row.got for row in rows], 0),
             "late_s": self._late(reports),
@@ -462,6 +464,16 @@
     return {"logged": dict(sorted(logs.items())), "errors": errors[:10], "errors_n": len(errors)}
 
 
+def again(reports: list[dict]) -> dict | None:
+    """What a later start of a supervisor costs in a fleet that is there."""
+    rows = [Row(*row) for report in reports for row in report["rows"] if row[1] > 1]
+    if not rows:
+        return None
+    return {"read_bytes": spread([row.read_bytes for row in rows if row.read_bytes], 0),
+            "read_messages": spread([row.read_messages for row in rows if row.read_messages], 0),
+            "ready_after_s": spread([row.ready_after for row in rows if row.ready_after is not None])}  # fmt: skip
+
+
 def run(kind: str, size: int, seed: int, changes: int, rest: float, within: float, multiple: float,
         longest: float = LONGEST, real: int = 0) -> dict:  # fmt: skip
     """One row: starts, rests, changes while supervisors restart. What did not come to its end is told in `partial`."""
@@ -495,7 +507,10 @@
             row["partial"] = str(error)
         try:
             fleet.ends_at += 20.0
-            row |= errors_of(fleet.ask_all("report"))
+            seen = fleet.look()
+            row |= {"at_the_end": {key: seen[key] for key in ("living", "ready", "still", "fenced")}}
+            row |= errors_of(reports := fleet.ask_all("report"))
+            row["again"] = again(reports)
         except Overdue as error:
             row["partial"] = f"{row.get('partial', '')}; {error}"
     row["seconds"] = round(time.monotonic() - began, 1)
