--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -7,9 +7,11 @@
     python -m benchmarks.hollow show                        # the rows as a table
 
 `--changes N`, `--rest SECONDS`, `--spread SECONDS`, `--seed N`, `--restarts MULTIPLE` (of 9,100 a day at 5,200, in
-proportion), `--real N` (the first N are whole supervisors: hollow and real told apart), `--out FILE`. A run ends by
-itself within six minutes and ends what it started. Folders of policies and the stores' logs lie in memory: real ones
-sync to a disk. One JSON object a line."""
+proportion), `--real N` (the first N are whole supervisors: hollow and real told apart), `--between SECONDS` (from
+one change to the next), `--look-every SECONDS` (between looks of the policy part: 0.1 in a real one; a machine with
+fewer cores than the fleet wants is relieved by more, and the row says so), `--out FILE`. A run ends by itself within
+six minutes and ends what it started. Folders of policies and the stores' logs lie in memory: real ones sync to a disk.
+One JSON object a line."""
 
 from __future__ import annotations
 
@@ -36,6 +38,7 @@
 from driftshed.day.stage import Launched, free_net
 from driftshed.net.loop import Loop
 from driftshed.net.stream import Stream
+from driftshed.policy.part import LOOK_EVERY
 
 ROOT = Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "benchmarks" / "hollow.json"
@@ -173,7 +176,9 @@
     """A fleet over sockets from its start to its end. Use it as a context: it ends all processes that it started."""
 
     def __init__(self, kind: str, size: int, seed: int, regions: int = 1, cells: int = 1, processes: int = 2,
-                 longest: float = LONGEST, real: int = 0, timeout: float = TIMEOUT) -> None:  # fmt: skip
+                 longest: float = LONGEST, real: int = 0, timeout: float = TIMEOUT, between: float = BETWEEN,
+                 look_every: float = LOOK_EVERY) -> None:  # fmt: skip
+        self.between, self.look_every = between, look_every
         self.timeout, self.kind, self.size, self.seed, self.regions, self.cells = (
             timeout, kind, size, seed, regions, cells)  # fmt: skip
         self.random, self.loop, self.names = Random(f"hollow {seed}"), Loop(), names_of(size)
@@ -219,8 +224,8 @@
             hosts, expected = [(f"{host}.10", 2181)], self.names
         for k in range(self.processes):
             names = self.hollow[k :: self.processes]
-            plan = Plan(str(self.folder / "keeps"), self.random.getrandbits(48), timeout, self.kind != "agents", tiers,
-                        hosts, "/driftshed", expected)  # fmt: skip
+            plan = Plan(str(self.folder / "keeps"), self.random.getrandbits(48), timeout, self.kind != "agents",
+                        self.look_every, tiers, hosts, "/driftshed", expected)  # fmt: skip
             worker = WorkerProcess(self.loop, plan, names, self.folder, k)
             self.workers.append(worker)
             self.where |= dict.fromkeys(names, worker)
@@ -450,7 +455,7 @@
         rows = [] if into is None else into
         for k in range(count):
             rows.append(self.change(2.2 + 0.05 * ((first + k) % 30)))
-            self.pass_time(BETWEEN)
+            self.pass_time(self.between)
         return rows
 
 
@@ -475,16 +480,18 @@
 
 
 def run(kind: str, size: int, seed: int, changes: int, rest: float, within: float, multiple: float,
-        longest: float = LONGEST, real: int = 0) -> dict:  # fmt: skip
+        longest: float = LONGEST, real: int = 0, between: float = BETWEEN,
+        look_every: float = LOOK_EVERY) -> dict:  # fmt: skip
     """One row: starts, rests, changes while supervisors restart. What did not come to its end is told in `partial`."""
     regions, cells, processes = LAYOUTS.get(size, (2, max(1, size // 100), 4)) if kind == "tiers" else (1, 1, 4)
     row: dict = {"kind": kind, "size": size, "seed": seed, "regions": regions, "cells": regions * cells,
                  "processes": processes, "command": f"benchmarks.hollow {kind} {size} --seed {seed}"
-                 f" --changes {changes} --rest {rest:g} --spread {within:g} --restarts {multiple:g} --real {real}",
+                 f" --changes {changes} --rest {rest:g} --spread {within:g} --restarts {multiple:g} --real {real}"
+                 f" --between {between:g} --look-every {look_every:g}",
                  "timeout": TIMEOUT, "cores": len(os.sched_getaffinity(0)), "at": time.strftime("%Y-%m-%d %H:%M"),
                  "folders": str(Path("/dev/shm"))}  # fmt: skip
     began = time.monotonic()
-    with Run(kind, size, seed, regions, cells, processes, longest, real) as fleet:
+    with Run(kind, size, seed, regions, cells, processes, longest, real, TIMEOUT, between, look_every) as fleet:
         try:
             row["joining"] = fleet.start_all(within)
             fleet.pass_time(3.0)
@@ -560,6 +567,8 @@
     parser.add_argument("--spread", type=float, default=30.0)
     parser.add_argument("--restarts", type=float, default=100.0)
     parser.add_argument("--real", type=int, default=0)
+    parser.add_argument("--between", type=float, default=BETWEEN)
+    parser.add_argument("--look-every", type=float, default=LOOK_EVERY)
     parser.add_argument("--out", type=Path, default=RESULTS)
     asked = parser.parse_args(given)
     if asked.kind != "show" and not asked.sizes:
@@ -570,8 +579,10 @@
             parser.error(f"{size}: 2 to {most} supervisors are wanted for {asked.kind}")
     if asked.real and (asked.kind != "tiers" or not 0 < asked.real <= 4):
         parser.error("--real: 1 to 4 whole supervisors, in tiers")
-    if min(asked.rest, asked.spread) < 0 or asked.changes < 0 or asked.restarts < 0:
-        parser.error("--rest, --spread, --changes and --restarts: 0 or more")
+    if asked.look_every < 0.05:
+        parser.error("--look-every: 0.05 s or more")
+    if min(asked.rest, asked.spread, asked.between) < 0 or asked.changes < 0 or asked.restarts < 0:
+        parser.error("--rest, --spread, --between, --changes and --restarts: 0 or more")
     return asked
 
 
@@ -586,7 +597,7 @@
     code = 0
     for size in asked.sizes:
         row = run(asked.kind, size, asked.seed, asked.changes, asked.rest, asked.spread, asked.restarts,
-                  real=asked.real)  # fmt: skip
+                  real=asked.real, between=asked.between, look_every=asked.look_every)  # fmt: skip
         put(row, asked.out)
         print(json.dumps(row), flush=True)
         code = max(code, 1 if "partial" in row else 0)
--- a/benchmarks/hollow_worker.py
+++ b/benchmarks/hollow_worker.py
@@ -23,6 +23,7 @@
 from driftshed.net.loop import Loop, Timer
 from driftshed.net.stream import Stream, dial
 from driftshed.policy import document as policies
+from driftshed.policy import part
 from driftshed.policy.keep import Keep
 from driftshed.policy.part import Asked, PolicyPart
 from driftshed.roster.announce import Standing
@@ -56,12 +57,13 @@
 
 class Plan(msgspec.Struct, forbid_unknown_fields=True):
     """What a worker is started with. `tiers`: the text of a tiers file; without it all are one flat fleet of `expected`
-    at `hosts`. `policy`: with a policy part."""
+    at `hosts`. `policy`: with a policy part; `look_every`: seconds between its looks, 0.1 in a real one."""
 
     folder: str
     seed: int
     timeout: float
     policy: bool = True
+    look_every: float = part.LOOK_EVERY
     tiers: str = ""
     hosts: list[tuple[str, int]] = []
     root: str = "/driftshed"
@@ -305,6 +307,7 @@
 class Worker:
     def __init__(self, plan: Plan, loop: Loop, sock: socket.socket) -> None:
         self.plan, self.loop = plan, loop
+        part.LOOK_EVERY = plan.look_every
         self.random = Random(f"hollow worker {plan.seed}")
         self.tiers = None
         if plan.tiers:
