A build that was cut off or raced is mended by the next one, `build` and `make` alike

Cause: `python3 -m venv` puts bin/python there first and pip seconds later. Cut off between, or met there by a second build, .venv has python and no pip; both lines asked only `test -x .venv/bin/python`, so nobody made it anew.

Change: deploy/venv.sh makes .venv for both.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,4 @@
 	$(BIN)/python -m pytest -q
 
 $(READY): requirements.txt requirements-test.txt pyproject.toml
-	test -x $(BIN)/python || $(PYTHON) -m venv .venv
-	$(BIN)/python -m pip -q install -r requirements.txt -r requirements-test.txt
-	$(BIN)/python -m pip -q install --no-deps --no-build-isolation -e .
-	touch $@
+	sh deploy/venv.sh $(PYTHON) test
