--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -9,9 +9,9 @@
 `--changes N`, `--rest SECONDS`, `--spread SECONDS`, `--seed N`, `--restarts MULTIPLE` (of 9,100 a day at 5,200, in
 proportion), `--real N` (the first N are whole supervisors: hollow and real told apart), `--between SECONDS` (from
 one change to the next), `--look-every SECONDS` (between looks of the policy part: 0.1 in a real one; a machine with
-fewer cores than the fleet wants is relieved by more, and the row says so), `--out FILE`. A run ends by itself within
-six minutes and ends what it started. Folders of policies and the stores' logs lie in memory: real ones sync to a disk.
-One JSON object a line."""
+fewer cores than the fleet wants is relieved by more, and the row says so), `--timeout` and `--patience SECONDS` (of
+sessions and of a change), `--out FILE`. A run ends by itself within six minutes and ends what it started. Folders of
+policies and the stores' logs lie in memory: real ones sync to a disk. One JSON object a line."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
 PATIENCE = 10.0  # seconds that a change waits for words
 DAILY, WHOLE, FAILING = 9100, 5200, 76  # restarts or replacements a day, at so many; one in so many stays away
 LONGEST = 350.0  # seconds of a run
-SETTLES = 25.0  # seconds until a change that is not everywhere is given up
+SETTLES = 2.5  # of its patience: until a change that is not everywhere is given up
 AGAIN = 1.0, 3.0  # seconds after which one that was killed is started again
 TRIES = 8  # of a change, refused and void ones together
 BETWEEN = 1.0  # seconds between changes
@@ -177,8 +177,8 @@
 
     def __init__(self, kind: str, size: int, seed: int, regions: int = 1, cells: int = 1, processes: int = 2,
                  longest: float = LONGEST, real: int = 0, timeout: float = TIMEOUT, between: float = BETWEEN,
-                 look_every: float = LOOK_EVERY) -> None:  # fmt: skip
-        self.between, self.look_every = between, look_every
+                 look_every: float = LOOK_EVERY, patience: float = PATIENCE) -> None:  # fmt: skip
+        self.between, self.look_every, self.patience = between, look_every, patience
         self.timeout, self.kind, self.size, self.seed, self.regions, self.cells = (
             timeout, kind, size, seed, regions, cells)  # fmt: skip
         self.random, self.loop, self.names = Random(f"hollow {seed}"), Loop(), names_of(size)
@@ -420,16 +420,16 @@
         refusals, tries = [], []
         for _ in range(TRIES):
             name = self.random.choice([each for each in self.hollow if each not in self.away and each not in self.down])
-            answer = self.ask_at(name, "propose", text=text_of(grace), patience=PATIENCE)
+            answer = self.ask_at(name, "propose", text=text_of(grace), patience=self.patience)
             if "refused" in answer:
                 refusals.append(f"{name}: {answer['refused']}")
                 self.pass_time(0.5)
                 continue
             version, asked, state, why, seen = answer["version"], answer["at"], "unknown", "", {}
-            while self.loop.clock() < asked + SETTLES:
+            while self.loop.clock() < asked + SETTLES * self.patience:
                 seen = self.look(version=version, asked=asked, by=name)
                 state, why = seen.get("mine") or (state, why)
-                lapsed = not seen["there"] and self.loop.clock() > asked + PATIENCE + self.timeout
+                lapsed = not seen["there"] and self.loop.clock() > asked + self.patience + self.timeout
                 if seen["there"] == seen["stayed"] > 0 or state in ("void", "lost", "refused") or lapsed:
                     break
                 self.pass_time(0.1)
@@ -481,23 +481,25 @@
 
 def run(kind: str, size: int, seed: int, changes: int, rest: float, within: float, multiple: float,
         longest: float = LONGEST, real: int = 0, between: float = BETWEEN,
-        look_every: float = LOOK_EVERY) -> dict:  # fmt: skip
+        look_every: float = LOOK_EVERY, timeout: float = TIMEOUT, patience: float = PATIENCE) -> dict:  # fmt: skip
     """One row: starts, rests, changes while supervisors restart. What did not come to its end is told in `partial`."""
     regions, cells, processes = LAYOUTS.get(size, (2, max(1, size // 100), 4)) if kind == "tiers" else (1, 1, 4)
     row: dict = {"kind": kind, "size": size, "seed": seed, "regions": regions, "cells": regions * cells,
                  "processes": processes, "command": f"benchmarks.hollow {kind} {size} --seed {seed}"
                  f" --changes {changes} --rest {rest:g} --spread {within:g} --restarts {multiple:g} --real {real}"
-                 f" --between {between:g} --look-every {look_every:g}",
-                 "timeout": TIMEOUT, "cores": len(os.sched_getaffinity(0)), "at": time.strftime("%Y-%m-%d %H:%M"),
+                 f" --between {between:g} --look-every {look_every:g} --timeout {timeout:g} --patience {patience:g}",
+                 "timeout": timeout, "patience": patience,
+                 "cores": len(os.sched_getaffinity(0)), "at": time.strftime("%Y-%m-%d %H:%M"),
                  "folders": str(Path("/dev/shm"))}  # fmt: skip
     began = time.monotonic()
-    with Run(kind, size, seed, regions, cells, processes, longest, real, TIMEOUT, between, look_every) as fleet:
+    flags = longest, real, timeout, between, look_every, patience
+    with Run(kind, size, seed, regions, cells, processes, *flags) as fleet:
         try:
             row["joining"] = fleet.start_all(within)
-            fleet.pass_time(3.0)
+            fleet.pass_time(max(3.0, timeout))
             if kind != "agents":
                 row["first_change"] = fleet.changes(1)
-                fleet.pass_time(2.0)
+                fleet.pass_time(max(2.0, timeout))
             row["rest"] = fleet.measure(lambda: fleet.pass_time(rest))
             if kind == "tiers" and changes and row["first_change"][0]["settled"]:
                 rows: list[dict] = []
@@ -569,6 +571,8 @@
     parser.add_argument("--real", type=int, default=0)
     parser.add_argument("--between", type=float, default=BETWEEN)
     parser.add_argument("--look-every", type=float, default=LOOK_EVERY)
+    parser.add_argument("--timeout", type=float, default=TIMEOUT)
+    parser.add_argument("--patience", type=float, default=PATIENCE)
     parser.add_argument("--out", type=Path, default=RESULTS)
     asked = parser.parse_args(given)
     if asked.kind != "show" and not asked.sizes:
@@ -579,8 +583,8 @@
             parser.error(f"{size}: 2 to {most} supervisors are wanted for {asked.kind}")
     if asked.real and (asked.kind != "tiers" or not 0 < asked.real <= 4):
         parser.error("--real: 1 to 4 whole supervisors, in tiers")
-    if asked.look_every < 0.05:
-        parser.error("--look-every: 0.05 s or more")
+    if asked.look_every < 0.05 or not 0.5 <= asked.timeout <= 60 or not 0.1 <= asked.patience <= 3600:
+        parser.error("--look-every: 0.05 s or more; --timeout: 0.5 to 60 s; --patience: 0.1 to 3600 s")
     if min(asked.rest, asked.spread, asked.between) < 0 or asked.changes < 0 or asked.restarts < 0:
         parser.error("--rest, --spread, --between, --changes and --restarts: 0 or more")
     return asked
@@ -597,7 +601,8 @@
     code = 0
     for size in asked.sizes:
         row = run(asked.kind, size, asked.seed, asked.changes, asked.rest, asked.spread, asked.restarts,
-                  real=asked.real, between=asked.between, look_every=asked.look_every)  # fmt: skip
+                  real=asked.real, between=asked.between, look_every=asked.look_every,
+                  timeout=asked.timeout, patience=asked.patience)  # fmt: skip
         put(row, asked.out)
         print(json.dumps(row), flush=True)
         code = max(code, 1 if "partial" in row else 0)
