One that could not go by a version and then can goes by it at once; a second ask is refused, not raised

Cause: _stands gave a supervisor whose dry run had said no the full 'ahead' seconds once it could, and its tables might change meanwhile (flat fleets too); ask looked for the topic's record where only an own proposal was waiting.

--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -160,8 +160,9 @@
             if why:
                 self._cannot(f"version {change.version} stands, and this supervisor cannot go by it: {why}")
                 return
-            # Guards against going by the old one a moment longer after a time away: that moment is over elsewhere.
-            here = self.known and self.loop.clock() < self.held_until
+            # Guards against going by the old one a moment longer after a time away, or after a time in which it could
+            # not go by the new one: that moment is over elsewhere.
+            here = self.known and not self.cannot and self.loop.clock() < self.held_until
             self.course.settled(change, document, self.loop.clock(), started=here)
             self.loop.at(self.course.next[2], self._switch)
         if self.newest is None or self.newest.epoch != standing.epoch:
@@ -339,8 +340,9 @@
         if not self.agent.holds():
             raise Refused(503, "this supervisor has no lease; ask another, or wait for the store")
         if self.agent.is_open(TOPIC) or (self.mine is not None and self.mine.state in ("waiting", "open")):
-            record = self.agent.topics[TOPIC].record
-            by = record.by if record else self.agent.name
+            topic = self.agent.topics.get(TOPIC)
+            record = topic.record if topic is not None else None
+            by = record.by if agreement.pending(record) else self.agent.name
             raise Refused(409, f"a change of {by} is open: wait for it, or abort it")
         # Guards against one that is named to be gone, was only stopped, and wakes: it finds that its start is over.
         for name in asked.despite:
