--- a/benchmarks/tiers.py
+++ b/benchmarks/tiers.py
@@ -21,7 +21,7 @@
 from driftshed.coordination import agreement
 from driftshed.policy.change import TOPIC
 from tests.test_tiers_model import BROKEN, Guards, fleet, search
-from tests.tiers import ROOT, WHOLE, TieredFleet, check, check_ends, drawn_history
+from tests.tiers import ROOT, TieredFleet, check, check_ends, drawn_history
 
 PROCESSES = 8
 SHAPES = ["2x2x3", "2x4x16", "4x4x4"]
--- a/tests/tiers.py
+++ b/tests/tiers.py
@@ -4,10 +4,9 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter
 from pathlib import Path
 from random import Random
-from types import SimpleNamespace
 
 from driftshed.coordination import agreement
 from driftshed.coordination.lease import DRIFT
@@ -18,6 +17,7 @@
 from driftshed.policy.change import TOPIC, everywhere_within, read_change
 from driftshed.policy.keep import Keep
 from driftshed.policy.part import Asked, PolicyPart
+from driftshed.roster.client import RosterClient
 from driftshed.roster.log import replay
 from driftshed.roster.serve import StoreServer
 from driftshed.roster.tree import Tree
@@ -163,6 +163,7 @@
         self.services: dict[str, HollowService] = {}
         self.seats: dict[str, DriftingSeat] = {}
         self.dead: set[str] = set()
+        self.other_tiers: dict[str, Tiers] = {}  # of those that were told something else
         self.acts: list[tuple[float, str, int]] = []
         self.claims: list[tuple[float, str, str]] = []
         self.logs: list[tuple[float, str, str, dict]] = []
@@ -188,7 +189,7 @@
         log = lambda event, **fields: self.logs.append((loop.now, name, event, fields))  # noqa: E731
         service = HollowService((host, 7000))
         agent = take_part(seat, service, [], "", name, "", self.timeout, log, seed=self.random.getrandbits(30),
-                          dial=self.network.dial(host), tiers=self.tiers)  # fmt: skip
+                          dial=self.network.dial(host), tiers=self.other_tiers.get(name, self.tiers))  # fmt: skip
         part = self.part_class(seat, service, agent, Keep(self.folder / name, "fleet", name), log,
                                unix=lambda: loop.now)  # fmt: skip
         self.parts[name], self.agents[name], self.services[name], self.seats[name] = part, agent, service, seat
@@ -291,6 +292,25 @@
         """The version that each living supervisor goes by."""
         return {name: self.parts[name].instance.policy for name in self.living()}
 
+    def asks(self, name: str, grace: float, patience: float = 30.0) -> int:
+        """Proposes, and waits until it is open: its epoch."""
+        before = 0 if self.above() is None else self.above().epoch
+        said = self.ask(name, grace, patience=patience)
+        assert not isinstance(said, str), said
+        self.until(lambda: self.above() is not None and self.above().epoch > before, 5, 0.001)
+        return self.above().epoch
+
+    def writes(self, store: str, request) -> None:
+        """Somebody else writes into a store, past all rules."""
+        seat, host = Seat(self.loop, "intruder"), "127.9.0.1"
+        self.network.zones[host] = "intruder"
+        done = []
+        client = RosterClient(seat, [self.stores[store].address], 5.0, Random(1), lambda state: None,
+                              lambda event: None, self.network.dial(host))  # fmt: skip
+        client.ask(request, lambda error, result: done.append(error))
+        self.until(lambda: done, 5, 0.01)
+        assert done == [0], done
+
     def everywhere(self, version: int) -> bool:
         return set(self.runs().values()) == {version}
 
@@ -439,7 +459,7 @@
     opened += [(region, fleet.region_copy(region)) for region in fleet.regions]
     opened += [(cell, fleet.copy_of(cell)) for cell in fleet.cells if set(fleet.cells[cell]) - fleet.dead]
     for where, record in opened:
-        assert record is None or record.state not in ("open", "ready"), f"{where}: epoch {record.epoch} is {record.state}"
+        assert not agreement.pending(record), f"{where}: epoch {record.epoch} is {record.state}"
 
 
 def check(fleet: TieredFleet) -> None:
