--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -11,6 +11,7 @@
 import click
 
 from driftshed.common.options import option
+from driftshed.day import tiers
 from driftshed.day.accord import RULES as ACCORD
 from driftshed.day.drawn import shrunk, with_drawn, without
 from driftshed.day.judge import Verdict, judge
@@ -21,6 +22,7 @@
 from driftshed.day.zones import RULE as ZONES
 
 TAMPERS = (*RULES, *ACCORD, ZONES, POLICIES)
+TIERS_TAMPERS, TIERS_SECONDS = (*ACCORD, POLICIES), 36.0
 
 
 @click.command()
@@ -75,18 +77,46 @@
     sys.exit(0 if verdict.kept else 1)
 
 
-def _print(name, seed, script, events, verdict, size) -> None:
-    facts = script.facts
-    click.echo(f"{name}, seed {seed}: {script.about}")
-    several = f"{script.fleet.supervisors} supervisors, " if script.fleet.supervisors > 1 else ""
-    parts = f"{several}{script.fleet.servers} servers, {facts.proxies} proxies, {script.seconds:g} s"
-    click.echo(f"{parts}, {size / 1e6:.1f} MB recorded")
+def _play_tiers(
+    seed: int, seconds: float, as_json: bool, tamper: str | None, keep: Path | None, without_faults: bool
+) -> None:
+    with tempfile.TemporaryDirectory() as scratch:
+        stage = tiers.play(seed, keep or Path(scratch), seconds, tamper, not without_faults)
+        verdict, found = tiers.judge(stage)
+    figures = {"settled": len(found.settled), "asked": stage.asked, "bound": round(found.bound, 2),
+               "used": verdict.margins.get(POLICIES, 0.0)}  # fmt: skip
+    if as_json:
+        click.echo(json.dumps({"rules": verdict.rules, "seed": seed, "seconds": seconds, "events": stage.events,
+                               "name": tiers.NAME, "breaks": verdict.breaks, **figures}))  # fmt: skip
+    else:
+        click.echo(f"{tiers.NAME}, seed {seed}: {tiers.ABOUT}")
+        parts = f"{len(tiers.NAMES)} supervisors, {len(tiers.CELLS)} cells, {len(tiers.REGIONS)} regions"
+        recorded = f"{seconds:g} s, {stage.recorder.bytes / 1e6:.1f} MB recorded"
+        click.echo(f"{parts}, {len(stage.proxies)} proxies, {recorded}")
+        _print_course(stage.events, verdict)
+        for text in verdict.breaks:
+            click.echo(f"  {text}")
+        click.echo(f"{stage.asked} changes asked for, {figures['settled']} settled; at the most {figures['used']:.2f} "
+                   f"of the bound of {found.bound:.2f} s was used")  # fmt: skip
+    sys.exit(0 if verdict.kept else 1)
+
+
+def _print_course(events: list[dict], verdict: Verdict) -> None:
     for event in events:
         more = " ".join(f"{key}={value}" for key, value in event.items() if key not in ("at", "what"))
         click.echo(f"  {event['at']:6.2f} s  {event['what']} {more}")
     for rule, row in verdict.rules.items():
         said = "BROKEN" if row["broken"] else "kept" if row["checked"] else "not checked on this day"
         click.echo(f"{rule:9} {said:8} checked {row['checked']}, broken {row['broken']}")
+
+
+def _print(name, seed, script, events, verdict, size) -> None:
+    facts = script.facts
+    click.echo(f"{name}, seed {seed}: {script.about}")
+    several = f"{script.fleet.supervisors} supervisors, " if script.fleet.supervisors > 1 else ""
+    parts = f"{several}{script.fleet.servers} servers, {facts.proxies} proxies, {script.seconds:g} s"
+    click.echo(f"{parts}, {size / 1e6:.1f} MB recorded")
+    _print_course(events, verdict)
     for zone, rows in verdict.left.items():
         for owner, shares in sorted(rows.items()):
             said = ", ".join(f"{share:.0%} at {at:g} s" for at, share in shares)
