--- a/driftshed/day/accord.py
+++ b/driftshed/day/accord.py
@@ -87,19 +87,16 @@
             self.records.append(agreement.read_record(topic, data))
 
     def _judge_epochs(self) -> None:
-        """An epoch of the fleet has one proposal, and that one end; only the copy of a record, which says what a tier
-        above made of it, may be void at first and settled then."""
-        tokens, ends, copies = {}, defaultdict(set), set()
+        """An epoch of the fleet has one proposal, and that one end."""
+        tokens, ends = {}, defaultdict(set)
         for record in self.records:
             self.check("epochs")
             if tokens.setdefault(record.epoch, record.token) != record.token:
                 self.broken("epochs", f"epoch {record.epoch} is both {tokens[record.epoch]} and {record.token}")
             if record.state in ("settled", "void"):
                 ends[record.epoch].add(record.state)
-            if getattr(record, "copied", False):
-                copies.add(record.epoch)
         for epoch, states in ends.items():
-            if len(states) > 1 and epoch not in copies:
+            if len(states) > 1:
                 self.broken("epochs", f"epoch {epoch} was both settled and voided")
         last: dict[tuple[str, str], int] = {}
         for at, order in self._orders():
--- a/driftshed/day/command.py
+++ b/driftshed/day/command.py
@@ -35,12 +35,22 @@
 @click.option("--without-faults", is_flag=True, help="the same day without its troubles of supervisors and store")
 @click.option("--shrink", is_flag=True, help="where a rule is broken, the fewest drawn troubles that still break one")
 @click.option("--tries", type=click.IntRange(0, 3), help="the mode of trying again that every proxy is told")
+@click.option("--seconds", type=click.FloatRange(tiers.LEAST_SECONDS, 600), help="of the day `tiers` alone; default 36")
 def day(
     name: str, seed: int, as_json: bool, tamper: str | None, keep: Path | None, trace: Path | None,
-    without_faults: bool, shrink: bool, tries: int | None,
+    without_faults: bool, shrink: bool, tries: int | None, seconds: float | None,
 ) -> None:  # fmt: skip
-    """Plays the day NAME (one that comes along, or a file) on loopback sockets. Exit code: 0 when every rule is kept,
-    1 when one is broken, 2 on bad input."""
+    """Plays the day NAME (one that comes along, or a file) on loopback sockets. The day `tiers` is of a fleet in tiers.
+    Exit code: 0 when every rule is kept, 1 when one is broken, 2 on bad input."""
+    if name == tiers.NAME:
+        if shrink or trace is not None or tries is not None:
+            raise click.BadParameter(f"the day {name} takes --seed, --seconds, --json, --tamper, --keep and "
+                                     "--without-faults alone", param_hint="--shrink, --trace or --tries")  # fmt: skip
+        if tamper is not None and tamper not in TIERS_TAMPERS:
+            raise click.BadParameter(f"{tamper}: the day {name} has {', '.join(TIERS_TAMPERS)}", param_hint="--tamper")
+        _play_tiers(seed, seconds or TIERS_SECONDS, as_json, tamper, keep, without_faults)
+    if seconds is not None:
+        raise click.BadParameter(f"{name}: its script says how long it is; leave it out", param_hint="--seconds")
     try:
         script = with_drawn(load_script(name), seed)
     except BadScript as error:
--- a/driftshed/day/tiers.py
+++ b/driftshed/day/tiers.py
@@ -43,11 +43,13 @@
 REGION_OF = {name: FLEETS.region_of(cell) for cell, members in CELLS.items() for name in members}
 # Of the addresses 127.NET.x.y: what stands at each x, y counts from 1.
 STORES, SUPERVISORS, WHOLE_WAYS, AT_WHOLE, REGION_WAYS, AT_REGION, CONTROLS, AT_PROXIES, PROXIES = range(1, 10)
-TIMEOUT, AHEAD, DESPITE_AFTER = 1.5, 0.3, 4.0  # seconds
+TIMEOUT, AHEAD, DESPITE_AFTER = 1.5, 0.3, 2.0  # seconds
 LIST_EVERY = 1.0  # seconds between changes of the list of servers, so that there are orders
 SERVERS = 4  # of which one after the other is not listed
-FIRST_CHANGE, FIRST_FAULT, STEP = 2.5, 3.5, 1.3  # seconds: when they begin, and between faults
+FIRST_CHANGE, FIRST_FAULT, STEP = 2.5, 3.5, 1.7  # seconds: when they begin, and between faults
 SETTLES_WITHIN = 40.0  # seconds after a day's faults that it may take until all go by one policy
+PATIENCE = (2.0, 8.0)  # seconds that changes wait for words
+MEET_SLOWLY = 0.15  # seconds that the ways of two who are asked at once are slower, so that their proposals meet
 SHORT, LONG = (0.1, 0.6), (1.5, 3.0)  # of a lease: pauses that it outlasts, and that outlast it
 CUT = (5.0, 20.0)  # seconds for which a region is cut from the whole's store
 LEAST_SECONDS = 14
@@ -66,6 +68,10 @@
 """
 
 
+def told(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
 def document(number: int) -> str:
     """A policy that no other number has."""
     return POLICY.format(ahead=AHEAD, despite_after=DESPITE_AFTER, grace=round(2.5 + number / 100, 2))
@@ -75,7 +81,8 @@
 
 
 class Fault(NamedTuple):
-    """`what` befalls `who` (a supervisor, a region, or a store, the whole's being "") at `at` for `lasts` seconds.
+    """`what` befalls `who` (a supervisor, a region, or a store, the whole's being "") at `at` for `lasts` seconds. What
+    is cut is a region from the whole's store; what is reset is every stream of a region's proxies.
     `sides`: which of a supervisor's ways; `way`: what it says, what it is told, or both; `by`: seconds later."""
 
     at: float
@@ -88,38 +95,41 @@
 
 
 class Asking(NamedTuple):
-    """`who` are asked at once for changes, each for another."""
+    """`who` are asked at once for changes, each for another, which wait `patience` seconds for words."""
 
     at: float
     who: tuple[str, ...]
+    patience: float
 
 
-KINDS = ("kill", "long pause", "apart", "store", "lose", "lag", "short pause", "lose", "apart")
+FIRST_KINDS = ("kill", "long pause", "apart", "store", "reset", "lose")
+KINDS = (*FIRST_KINDS, "lag", "short pause", "lose", "apart")
 SIDES = (("whole",), ("region",), ("whole", "region"), ("proxies",), ("whole", "region", "proxies"))
 
 
 def draw(seed: int, seconds: float, timeout: float = TIMEOUT) -> list[Fault]:
-    """One fault of a supervisor or a store after the other, one of each kind before any comes again, and one region cut
-    off meanwhile. One that is dead or still has no other fault."""
+    """One fault of a supervisor or a store after the other, the first kinds first, and one region cut off meanwhile.
+    One that is dead or still has no other fault."""
     random, faults = Random(f"tiers faults {seed}"), []
     room = seconds - FIRST_FAULT - 3.0
     lasts = round(random.uniform(CUT[0], max(CUT[0], min(CUT[1], room * 0.7))), 2)
     at = round(FIRST_FAULT + random.uniform(0, max(0.0, room - lasts)), 2)
     faults.append(Fault(at, "cut", random.choice(sorted(REGIONS)), lasts))
     free: dict[str, float] = {}
-    kinds: list[str] = []
+    kinds = random.sample(FIRST_KINDS, len(FIRST_KINDS))
     for k in range(int(room / STEP)):
         at = round(FIRST_FAULT + (k + random.random()) * STEP, 2)
         kinds = kinds or random.sample(KINDS, len(KINDS))
         kind, lasts = kinds.pop(), round(timeout * random.uniform(0.5, 3), 2)
-        able = [each for each in (("", *REGIONS) if kind == "store" else NAMES) if free.get(each, 0.0) <= at]
+        whose = {"store": ("", *REGIONS), "reset": tuple(REGIONS)}.get(kind, NAMES)
+        able = [each for each in whose if kind == "reset" or free.get(each, 0.0) <= at]
         if not able:
             continue
         who = random.choice(able)
         if kind == "store":
             fault = Fault(at, kind, who, round(random.uniform(0.3, 2.0), 2))
-        elif kind == "kill":
-            fault = Fault(at, kind, who, lasts)
+        elif kind in ("kill", "reset"):
+            fault = Fault(at, kind, who, lasts if kind == "kill" else 0.0)
         elif kind == "apart":
             fault = Fault(at, kind, who, lasts, random.choice(SIDES), random.choice(("both", "told", "said")))
         elif kind == "lag":
@@ -129,7 +139,8 @@
         else:
             share = random.uniform(*(SHORT if kind == "short pause" else LONG))
             fault = Fault(at, "pause", who, round(timeout * share, 2))
-        free[who] = at + fault.lasts + timeout
+        if kind != "reset":
+            free[who] = at + fault.lasts + timeout
         faults.append(fault)
     return sorted(faults)
 
@@ -142,7 +153,7 @@
         who = [random.choice(NAMES)]
         if len(askings) % 3 == 1:
             who.append(random.choice([name for name in NAMES if REGION_OF[name] != REGION_OF[who[0]]]))
-        askings.append(Asking(round(at, 2), tuple(who)))
+        askings.append(Asking(round(at, 2), tuple(who), round(random.uniform(*PATIENCE), 2)))
         at += random.uniform(0.6, 1.4)
     return askings
 
@@ -167,6 +178,7 @@
         self.store_addresses = {name: self._at(STORES, 1 + k, 2181) for k, name in enumerate(("", *REGIONS))}
         self.ways: dict[tuple[str, str], Between] = {}  # by supervisor and side
         self.relays: list[Relay] = []
+        self.controls: dict[str, Relay] = {}
         self.addresses, self.supervisors, self.clients = {}, {}, {}
         for k, name in enumerate(NAMES):
             self._set_up(k, name)
@@ -180,9 +192,9 @@
         return f"127.{self.net}.{part}.{number}", port
 
     def _store_process(self, k: int, name: str) -> FleetProcess:
-        host, port = self._at(STORES, 1 + k, 2181)
+        listen = told(self._at(STORES, 1 + k, 2181))
         folder = self.folder / f"store-{name or 'whole'}"
-        return FleetProcess(["roster", "serve", "--listen", f"{host}:{port}", "--folder", str(folder)],
+        return FleetProcess(["roster", "serve", "--listen", listen, "--folder", str(folder)],
                             self.folder / f"{folder.name}.log")  # fmt: skip
 
     def _way(self, name: str, side: str, k: int, at: int, stored: int, store: str) -> str:
@@ -191,7 +203,7 @@
         self.relays.append(relay)
         between = Between(self.loop, self._at(at, 1 + k, 2181), relay.address, whole_frame)
         self.ways[name, side] = between
-        return "%s:%d" % between.address
+        return told(between.address)
 
     def _set_up(self, k: int, name: str) -> None:
         region, address = REGION_OF[name], self._at(SUPERVISORS, 1 + k, 7100)
@@ -202,16 +214,17 @@
         self.ways[name, "proxies"] = between
         control = Relay(self.loop, self.recorder, CONTROL, self._at(CONTROLS, 1 + k, 7000), between.address)
         self.relays.append(control)
+        self.controls[name] = control
         path = self.folder / f"tiers-{name}.toml"
         path.write_text(self._tiers(whole, region, near))
-        listen, advertise = ("%s:%d" % each for each in (address, control.address))
+        listen, advertise = told(address), told(control.address)
         process = FleetProcess([
             "supervise", "--listen", listen, "--advertise", advertise, "--operation", OPERATION, "--proxies", "6",
             "--supervisors", "3", "--silence", "2", "--name", name, "--tiers", str(path), "--fleet-timeout",
             str(self.timeout), "--policy-folder", str(self.folder / f"policy-{name}"),
         ], self.folder / f"{name}.log")  # fmt: skip
         taken_out = ["--take-out", self.tamper] if self.tamper not in (None, "owners") else []
-        process.program = ("driftshed.day.rigged", "--orders-to", "%s:%d" % self.sink.address, *taken_out, "--")
+        process.program = ("driftshed.day.rigged", "--orders-to", told(self.sink.address), *taken_out, "--")
         self.supervisors[name] = process
 
     def _tiers(self, whole: str, region: str, near: str) -> str:
@@ -228,10 +241,10 @@
     def _proxy(self, k: int) -> FleetProcess:
         members = list(CELLS.values())[k % len(CELLS)]
         members = members[k % 3 :] + members[: k % 3]
-        at = ["%s:%d" % self._at(CONTROLS, 1 + NAMES.index(name), 7000) for name in members]
-        host, port = self._at(PROXIES, 1 + k, 8080)
+        at = [told(self._at(CONTROLS, 1 + NAMES.index(name), 7000)) for name in members]
+        listen = told(self._at(PROXIES, 1 + k, 8080))
         process = FleetProcess([
-            "proxy", "--listen", f"{host}:{port}", "--number", str(k), "--zone", "east", "--operation", OPERATION,
+            "proxy", "--listen", listen, "--number", str(k), "--zone", "east", "--operation", OPERATION,
             "--hears-within", "2", "--standing", self._server(0), "--seed", str(k),
             *(part for each in at for part in ("--supervisor", each)),
         ], self.folder / f"proxy{k}.log")  # fmt: skip
@@ -240,7 +253,7 @@
         return process
 
     def _server(self, number: int) -> str:
-        return "%s:%d" % self._at(0, 10 + number, 8000)
+        return told(self._at(0, 10 + number, 8000))
 
     def owner(self, asked: str) -> int:
         """The number of the supervisor that an address leads to, or from."""
@@ -371,6 +384,8 @@
 
     def _begin(self, fault: Fault) -> None:
         more = {key: value for key, value in fault._asdict().items() if value and key not in ("at", "what", "who")}
+        if not fault.sides:
+            more.pop("way")
         self.note(fault.what, who=fault.who or "whole", **more)
         getattr(self, f"_{fault.what}")(fault)
 
@@ -409,6 +424,11 @@
                 for way in (FORTH, BACK):
                     self.ways[name, "whole"].cut(way, step)
 
+    def _reset(self, fault: Fault) -> None:
+        for name, control in self.controls.items():
+            if REGION_OF[name] == fault.who:
+                control.reset_all()
+
     def _cut(self, fault: Fault) -> None:
         self.cut_region(fault.who, +1)
         self._after(fault, lambda: self.cut_region(fault.who, -1))
@@ -425,19 +445,23 @@
         self._after(fault, lambda: cut(-1))
 
     def _lag(self, fault: Fault) -> None:
-        def by(seconds: float) -> None:
-            for side in fault.sides:
-                between = self.ways[fault.who, side]
-                between.delay = max(0.0, round(between.delay + seconds, 6))
+        for side in fault.sides:
+            self._slower(fault.who, side, +fault.by)
+        self._after(fault, lambda: [self._slower(fault.who, side, -fault.by) for side in fault.sides])
 
-        by(+fault.by)
-        self._after(fault, lambda: by(-fault.by))
+    def _slower(self, name: str, side: str, by: float) -> None:
+        between = self.ways[name, side]
+        between.delay = max(0.0, round(between.delay + by, 6))
 
     def _lose(self, fault: Fault) -> None:
         for side in fault.sides:
             self.ways[fault.who, side].lose[FORTH if fault.way == "said" else BACK] += 1
 
     def _ask(self, asking: Asking) -> None:
+        if len(asking.who) > 1:
+            for name in asking.who:
+                self._slower(name, "whole", +MEET_SLOWLY)
+                self.loop.after(1.5, lambda name=name: self._slower(name, "whole", -MEET_SLOWLY))
         for name in asking.who:
             self.asked += 1
 
@@ -445,7 +469,7 @@
                 self.note("policy proposed", who=name, status=answer.status,
                           said=answer.body.decode("utf-8", "replace")[:100])  # fmt: skip
 
-            self.clients[name].call("POST", "/v1/policy", asked(self.asked), answered, 3.0, fresh=True)
+            self.clients[name].call("POST", "/v1/policy", asked(self.asked, asking.patience), answered, 3.0, fresh=True)
 
 
 def asked(number: int, patience: float = 3.0) -> bytes:
@@ -475,9 +499,9 @@
 
 def judge(stage: TiersStage) -> tuple[Verdict, TiersJudge]:
     """Judges what a stage recorded."""
-    began, kinds = read_traffic(read_record(stage.record))
+    _, kinds = read_traffic(read_record(stage.record))
     verdict = Verdict()
-    found = TiersJudge(verdict, kinds, began, FLEETS, NAMES, stage.owner, stage.timeout, AHEAD,
+    found = TiersJudge(verdict, kinds, FLEETS, NAMES, stage.owner, stage.timeout, AHEAD,
                         stage.tamper is None)  # fmt: skip
     found.judge()
     return verdict, found
--- a/driftshed/day/tiers_accord.py
+++ b/driftshed/day/tiers_accord.py
@@ -15,6 +15,7 @@
 from driftshed.coordination import agreement
 from driftshed.coordination.agreement import Record
 from driftshed.coordination.lease import DRIFT
+from driftshed.coordination.tiers import HOLDS
 from driftshed.core.messages import Changes
 from driftshed.day import accord
 from driftshed.day.accord import Accord
@@ -65,15 +66,21 @@
 class FleetAccord(Accord):
     """One fleet of the tiers."""
 
-    def __init__(self, *given: object, began: float, said: dict[StoreTalk, list[tuple]], **more: object) -> None:
-        """`began`: unix time of the day's start, by which the store's times are told. `said`: what was read of talks,
-        for all fleets."""
-        self.began, self.said = began, said
+    def __init__(self, *given: object, said: dict[StoreTalk, list[tuple]], **more: object) -> None:
+        """`said`: what was read of talks, for all fleets."""
+        self.said = said
+        self.read: list[tuple[float, float, Seen]] = []  # records that were read: when, and the store's time of them
         self.seen: list[Seen] = []
         self.words: dict[tuple[int, str], dict[bool, float]] = defaultdict(dict)  # by epoch and name: since when
         self.there: dict[str, list[float]] = defaultdict(list)  # by name: when somebody saw its node, or made it
+        self.presence: dict[str, list[tuple[float, bool]]] = defaultdict(list)  # the same by node, and when it was gone
         super().__init__(*given, **more)
+        # The store's clock against ours: what is read soonest after it was written is read in no time.
+        off = min((at - written for at, written, _ in self.read), default=0.0)
+        self.seen += [seen._replace(at=min(at, written + off)) for at, written, seen in self.read]
         self.seen.sort(key=lambda seen: seen.at)
+        for node, rows in self.stays.items():
+            self.presence[node] += [(at, False) for at, there in rows if not there]
 
     def _said(self, talk: StoreTalk) -> list[tuple]:
         if talk not in self.said:
@@ -86,28 +93,35 @@
         for at, request, result in self._said(talk):
             path = getattr(request, "path", "")
             if isinstance(request, jute.Create) and path.startswith(f"{folder}/"):
-                self.there[path.rpartition("/")[2].partition("~")[0]].append(at)
+                self._met(path.rpartition("/")[2], at)
             elif isinstance(request, jute.GetChildren) and path == folder:
                 for node in result[0]:
-                    self.there[node.partition("~")[0]].append(at)
+                    self._met(node, at)
             elif isinstance(request, jute.GetData) and path.startswith(records):
-                written = result[1].mtime / 1000 - self.began
-                self._see(path, min(at, written), result[1].mzxid, result[0])
+                self._see(path, at, result[0], result[1])
             elif isinstance(request, jute.SetData | jute.Create) and path.startswith(records):
-                self._see(path, at, 0, request.data)
+                self._see(path, at, request.data)
             elif isinstance(request, jute.Multi) and not any(isinstance(each, int) for each in result):
                 for part in request.parts:
                     if isinstance(part, jute.Create | jute.SetData) and part.path.startswith(records):
-                        self._see(part.path, at, 0, part.data)
+                        self._see(part.path, at, part.data)
 
-    def _see(self, path: str, at: float, mzxid: int, data: bytes) -> None:
+    def _met(self, node: str, at: float) -> None:
+        self.there[node.partition("~")[0]].append(at)
+        self.presence[node].append((at, True))
+
+    def _see(self, path: str, at: float, data: bytes, stat: jute.Stat | None = None) -> None:
         topic, _, node = path.removeprefix(f"{self.root}/records/").partition("/")
         if node:
             ballot = agreement.read_ballot(node, data)
             since = self.words[ballot.epoch, ballot.name]
             since[ballot.assent] = min(at, since.get(ballot.assent, at))
         else:
-            self.seen.append(Seen(at, mzxid, agreement.read_record(topic, data)))
+            record = agreement.read_record(topic, data)
+            if stat is None:
+                self.seen.append(Seen(at, 0, record))
+            else:
+                self.read.append((at, stat.mtime / 1000, Seen(at, stat.mzxid, record)))
 
     def since(self, state: str) -> dict[int, Seen]:
         """By epoch, when its record was first in this state."""
@@ -157,7 +171,7 @@
     on until the faults are over and all should have settled."""
 
     def __init__(
-        self, verdict, kinds: dict[str, list], began: float, fleets: Fleets, names: list[str],
+        self, verdict, kinds: dict[str, list], fleets: Fleets, names: list[str],
         owner: Callable[[str], int], timeout: float, ahead: float, ends: bool = True,
     ) -> None:  # fmt: skip
         self.verdict, self.kinds, self.fleets, self.names, self.owner = verdict, kinds, fleets, names, owner
@@ -169,8 +183,7 @@
         said: dict[StoreTalk, list[tuple]] = {}
         for name, root in fleets.roots.items():
             whose = frozenset(fleets.cells.get(name, ()))
-            self.accords[name] = FleetAccord(kinds, owner, verdict.check, verdict.broken, root, whose, began=began,
-                                             said=said)  # fmt: skip
+            self.accords[name] = FleetAccord(kinds, owner, verdict.check, verdict.broken, root, whose, said=said)
         self.settled: dict[int, Seen] = {}  # by version
         runs = [(each.asked_at, RUNNING.decode(each.asked)) for connection in kinds.get(ORDER, [])
                 for each in connection.exchanges if each.path == RUNS and each.asked]  # fmt: skip
@@ -221,22 +234,56 @@
                                         f"stands at {seen.at:.2f} s, not settled in the whole by then")  # fmt: skip
 
     def _judge_chain(self, cell: str) -> None:
-        """Nobody acts past the end of the chain that its cell's beats carry."""
-        ends: dict[str, list[tuple[float, float]]] = defaultdict(list)  # by supervisor: when it heard, until when
-        rows: dict[str, list[tuple[float, float, dict]]] = defaultdict(list)
-        for talk in self.kinds.get(STORED, []):
-            rows[self.names[self.owner(talk.asked)]] += polls(talk, f"{self.fleets.roots[cell]}/above")
-        for name in self.fleets.cells[cell]:
-            own = sorted(rows[name], key=lambda row: row[0])
-            for (asked_at, _, before), (_, answered_at, beat) in zip(own, own[1:], strict=False):
-                if (beat["by"], beat["number"]) != (before["by"], before["number"]):
-                    ends[name].append((answered_at, asked_at + beat["left"]))
+        """Nobody acts past what its own readings of its region's beats prove, nor where it was told that nobody speaks
+        for its cell, nor where the region had no node in the whole within the time for which a beat proves it."""
+        region, lasts = self.fleets.region_of(cell), HOLDS * self.timeout
+        proofs, named = self._proofs(cell, region, lasts), self._named(cell, region)
+        seen = [sorted(rows) for node, rows in self.accords[""].presence.items() if node.partition("~")[0] == region]
         for at, order in self.accords[cell]._orders():
-            self.verdict.check("leases")
-            until = max((end for heard, end in ends[order.name] if heard <= at), default=0.0)
+            self.verdict.check("leases", 3)
+            until = max((end for heard, end in proofs[order.name] if heard <= at), default=0.0)
             if at > until + LATE:
-                self.verdict.broken("leases", f"{order.name} acts at {at:.2f} s; the leases above it were proven until "
-                                    f"{until:.2f} s")  # fmt: skip
+                self.verdict.broken("leases", f"{order.name} acts at {at:.2f} s; that {region} is in touch was proven "
+                                    f"until {until:.2f} s")  # fmt: skip
+            heard = [there for then, there in named[order.name] if then <= at - LATE]
+            if not heard or not (heard[-1] or any(at - LATE < then for then, _ in named[order.name] if then <= at)):
+                self.verdict.broken("leases", f"{order.name} acts at {at:.2f} s, told that nobody speaks for {cell}")
+            since = at - lasts * (1 + DRIFT) - LATE
+            if not any(was_there(rows, since, at) for rows in seen):
+                self.verdict.broken("leases", f"{order.name} acts at {at:.2f} s; {region} had no node in the whole "
+                                    f"since {since:.2f} s")  # fmt: skip
+
+    def _proofs(self, cell: str, region: str, lasts: float) -> dict[str, list[tuple[float, float]]]:
+        """By supervisor, when it heard what, and until when that proves its region to be in touch: for as long from the
+        asking of the last poll that read a beat older by two, of the same run."""
+        polls: dict[str, list[tuple[float, float, dict]]] = defaultdict(list)
+        proofs: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        for talk in self.kinds.get(STORED, []):
+            name = self.names[self.owner(talk.asked)]
+            if name in self.fleets.cells[cell]:
+                polls[name] += readings(talk, f"{self.fleets.roots[region]}/above")
+        for name, rows in polls.items():
+            older: dict[str, list[tuple[float, int]]] = defaultdict(list)  # by run
+            for asked_at, answered_at, beat in sorted(rows, key=lambda row: row[0]):
+                own = older[beat["run"]]
+                before = [then for then, number in own if number <= beat["number"] - 2]
+                if before:
+                    proofs[name].append((answered_at, max(before) + lasts))
+                own.append((asked_at, beat["number"]))
+        return proofs
+
+    def _named(self, cell: str, region: str) -> dict[str, list[tuple[float, bool]]]:
+        """By supervisor, when it was told who is in its region, and whether its cell was."""
+        named: dict[str, list[tuple[float, bool]]] = defaultdict(list)
+        path, accord_of = f"{self.fleets.roots[region]}/members", self.accords[region]
+        for talk in self.kinds.get(STORED, []):
+            name = self.names[self.owner(talk.asked)]
+            for at, request, result in accord_of._said(talk) if name in self.fleets.cells[cell] else ():
+                if isinstance(request, jute.GetChildren) and request.path == path:
+                    named[name].append((at, any(node.partition("~")[0] == cell for node in result[0])))
+        for rows in named.values():
+            rows.sort()
+        return named
 
     def _judge_policies(self) -> None:
         """Nobody goes by what was never settled in the whole, and nobody by an older version once the bound is over."""
@@ -271,12 +318,25 @@
                 by_topic[seen.record.topic] = seen if old is None or agreement.newer(seen.record, old.record) else old
             for topic, seen in by_topic.items():
                 self.verdict.check("ends")
-                if seen.record.state in ("open", "ready"):
+                if agreement.pending(seen.record):
                     self.verdict.broken("ends", f"{accord_of.root}: epoch {seen.record.epoch} of {topic} is "
                                         f"{seen.record.state} at the end")  # fmt: skip
 
 
-def polls(talk: StoreTalk, path: str) -> Iterator[tuple[float, float, dict]]:
+def was_there(rows: list[tuple[float, bool]], since: float, till: float) -> bool:
+    """Whether a node was there at any moment of a time, by when it was made or seen, and when somebody was told that it
+    is gone."""
+    there = not rows[0][1]
+    for at, made in rows:
+        if at > till:
+            break
+        if there and not made and at >= since:
+            return True
+        there = made
+    return there
+
+
+def readings(talk: StoreTalk, path: str) -> Iterator[tuple[float, float, dict]]:
     """The readings of one node on a connection to a store: when it was asked for, when told, and what it held."""
     asked: dict[int, float] = {}
     opened = {False: False, True: False}
--- a/tests/test_tiers_processes.py
+++ b/tests/test_tiers_processes.py
@@ -44,10 +44,10 @@
     for seed in range(200):
         free, faults = {}, draw(seed, 36)
         assert sum(fault.what == "cut" for fault in faults) == 1
-        assert {"cut", "kill", "pause", "store", "apart", "lag", "lose"} <= {fault.what for fault in faults}
+        assert {"cut", "kill", "pause", "store", "apart", "reset", "lose"} <= {fault.what for fault in faults}
         for fault in faults:
             assert FIRST_FAULT <= fault.at and fault.at + (fault.lasts if fault.what == "cut" else 0) <= 36
-            if fault.what != "cut":
+            if fault.what not in ("cut", "reset"):
                 assert fault.at >= free.get(fault.who, 0.0)
                 free[fault.who] = fault.at + fault.lasts
 
