--- a/driftshed/day/tiers.py
+++ b/driftshed/day/tiers.py
@@ -49,7 +49,7 @@
 FIRST_CHANGE, FIRST_FAULT, STEP = 2.5, 3.5, 1.7  # seconds: when they begin, and between faults
 SETTLES_WITHIN = 40.0  # seconds after a day's faults that it may take until all go by one policy
 PATIENCE = (2.0, 8.0)  # seconds that changes wait for words
-MEET_SLOWLY = 0.15  # seconds that the ways of two who are asked at once are slower, so that their proposals meet
+MEET_AFTER, MEET_SLOWLY = 0.8, 0.15  # seconds until two are asked again, and by which their ways are slower then
 SHORT, LONG = (0.1, 0.6), (1.5, 3.0)  # of a lease: pauses that it outlasts, and that outlast it
 CUT = (5.0, 20.0)  # seconds for which a region is cut from the whole's store
 LEAST_SECONDS = 14
@@ -95,11 +95,13 @@
 
 
 class Asking(NamedTuple):
-    """`who` are asked at once for changes, each for another, which wait `patience` seconds for words."""
+    """`who` are asked at once for changes, each for another, which wait `patience` seconds for words. `slowly`: their
+    ways to the whole's store are slow then, so that what they read and write there meets."""
 
     at: float
     who: tuple[str, ...]
     patience: float
+    slowly: bool = False
 
 
 FIRST_KINDS = ("kill", "long pause", "apart", "store", "reset", "lose")
@@ -146,15 +148,17 @@
 
 
 def draw_changes(seed: int, seconds: float) -> list[Asking]:
-    """A supervisor is asked every second or so; every third time one of the other region at the same moment, so that
-    two proposals meet."""
-    random, askings, at = Random(f"tiers changes {seed}"), [], FIRST_CHANGE
+    """A supervisor is asked every second or so; at first and every fifth time two of different regions, and both again
+    while they are still guests of the whole, so that proposals meet."""
+    random, askings, at, count = Random(f"tiers changes {seed}"), [], FIRST_CHANGE, 0
     while at < seconds - 2.0:
-        who = [random.choice(NAMES)]
-        if len(askings) % 3 == 1:
+        who, patience = [random.choice(NAMES)], round(random.uniform(*PATIENCE), 2)
+        if count % 5 == 0:
             who.append(random.choice([name for name in NAMES if REGION_OF[name] != REGION_OF[who[0]]]))
-        askings.append(Asking(round(at, 2), tuple(who), round(random.uniform(*PATIENCE), 2)))
-        at += random.uniform(0.6, 1.4)
+            askings.append(Asking(round(at, 2), tuple(who), patience))
+            at += MEET_AFTER
+        askings.append(Asking(round(at, 2), tuple(who), patience, len(who) > 1))
+        at, count = at + random.uniform(0.6, 1.4), count + 1
     return askings
 
 
@@ -458,10 +462,9 @@
             self.ways[fault.who, side].lose[FORTH if fault.way == "said" else BACK] += 1
 
     def _ask(self, asking: Asking) -> None:
-        if len(asking.who) > 1:
-            for name in asking.who:
-                self._slower(name, "whole", +MEET_SLOWLY)
-                self.loop.after(1.5, lambda name=name: self._slower(name, "whole", -MEET_SLOWLY))
+        for name in asking.who if asking.slowly else ():
+            self._slower(name, "whole", +MEET_SLOWLY)
+            self.loop.after(MEET_AFTER, lambda name=name: self._slower(name, "whole", -MEET_SLOWLY))
         for name in asking.who:
             self.asked += 1
 
