--- /dev/null
+++ b/benchmarks/capacity_fit.py
@@ -0,0 +1,124 @@
+"""How a figure grows with a size: which of five forms it follows, fitted by least squares, checked at a size held out,
+and from which size on it is over a budget. Pure.
+
+Errors are relative, so that a small size counts as much as a large one. A form with more in it is taken only where it
+explains clearly more: else every line would be told as a parabola."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import numpy as np
+
+# What each form adds up; coefficients come in this order.
+FORMS = {
+    "constant": (lambda n: n**0,),
+    "n": (lambda n: n**0, lambda n: n),
+    "n log n": (lambda n: n**0, lambda n: n * np.log2(n)),
+    "n^2": (lambda n: n**0, lambda n: n, lambda n: n**2),
+    "n^3": (lambda n: n**0, lambda n: n**2, lambda n: n**3),
+}
+BETTER = 0.4  # of the simpler form's error: above it the simpler one is kept
+GOOD = 0.002  # relative: a form that is off by less is not looked beyond
+FEWEST = 4  # sizes, the one held out among them
+
+
+class TooFew(ValueError):
+    """A growth cannot be told from so few sizes."""
+
+
+class Fit(NamedTuple):
+    """`held_out`: the largest size, left out of the choice. `held_out_error`: (predicted - measured) / measured there;
+    `coefficients`: of the chosen form over all sizes, the held-out one included."""
+
+    form: str
+    coefficients: tuple[float, ...]
+    held_out: float
+    held_out_error: float
+
+    def at(self, size: float) -> float:
+        return value_at(self.form, self.coefficients, size)
+
+
+def _terms(form: str, sizes: np.ndarray) -> np.ndarray:
+    return np.stack([term(sizes) for term in FORMS[form]], axis=1)
+
+
+def value_at(form: str, coefficients: tuple[float, ...] | list[float], size: float) -> float:
+    return float((_terms(form, np.array([float(size)])) @ np.array(coefficients)).item())
+
+
+def solve(form: str, sizes: list[float], values: list[float]) -> tuple[float, ...]:
+    """Coefficients by least squares of relative errors."""
+    n, y = np.array(sizes, float), np.array(values, float)
+    weight = 1 / np.maximum(np.abs(y), np.max(np.abs(y)) * 1e-6 or 1.0)
+    terms = _terms(form, n)
+    scale = np.max(np.abs(terms), axis=0)  # Guards against a cubed size that drowns the rest.
+    found, *_ = np.linalg.lstsq(terms / scale * weight[:, None], y * weight, rcond=None)
+    return tuple(float(each) for each in found / scale)
+
+
+def _off(form: str, coefficients: tuple[float, ...], sizes: list[float], values: list[float]) -> float:
+    most = max(abs(each) for each in values) or 1.0
+    errors = [(value_at(form, coefficients, n) - y) / max(abs(y), most * 1e-6)
+              for n, y in zip(sizes, values, strict=True)]  # fmt: skip
+    return float(np.sqrt(np.mean(np.square(errors))))
+
+
+def left_out(form: str, sizes: list[float], values: list[float]) -> float:
+    """The root mean square of the relative errors at each size, fitted to the others."""
+    errors = []
+    for k in range(len(sizes)):
+        rest, known = sizes[:k] + sizes[k + 1 :], values[:k] + values[k + 1 :]
+        errors.append(_off(form, solve(form, rest, known), sizes[k : k + 1], values[k : k + 1]))
+    return float(np.sqrt(np.mean(np.square(errors))))
+
+
+def choose(sizes: list[float], values: list[float]) -> str:
+    """The simplest form that no later one beats clearly. A form needs more sizes than it has coefficients."""
+    chosen, error = "constant", left_out("constant", sizes, values)
+    for form, terms in FORMS.items():
+        if form == "constant" or len(terms) >= len(sizes):
+            continue
+        if error <= GOOD:
+            break
+        other = left_out(form, sizes, values)
+        if other < BETTER * error and _grows(form, sizes, values):
+            chosen, error = form, other
+    return chosen
+
+
+def _grows(form: str, sizes: list[float], values: list[float]) -> bool:
+    """Guards against a parabola that bends down: beyond the sizes it would promise less than nothing."""
+    return solve(form, sizes, values)[-1] >= 0 or form == "n"
+
+
+def fit(sizes: list[float], values: list[float]) -> Fit:
+    """TooFew under four sizes. The form is chosen without the largest size."""
+    rows = sorted(zip(sizes, values, strict=True))
+    n, y = [float(size) for size, _ in rows], [float(value) for _, value in rows]
+    if len(set(n)) < max(FEWEST, len(n)):
+        raise TooFew(f"{len(set(n))} sizes: {FEWEST} or more, each once, are wanted")
+    form = choose(n[:-1], y[:-1])
+    error = held_out_error(form, n, y)
+    return Fit(form, solve(form, n, y), n[-1], error)
+
+
+def held_out_error(form: str, sizes: list[float], values: list[float]) -> float:
+    """Of a form fitted without the last size, at that size: (predicted - measured) / measured."""
+    predicted = value_at(form, solve(form, sizes[:-1], values[:-1]), sizes[-1])
+    return (predicted - values[-1]) / (values[-1] or 1.0)
+
+
+def first_above(form: str, coefficients: tuple[float, ...] | list[float], budget: float, most: int) -> int | None:
+    """The smallest whole size up to `most` at which the figure is above the budget; None where it never is."""
+    if value_at(form, coefficients, most) <= budget:
+        return None
+    low, high = 0, most  # at `high` it is above; forms that are taken rise
+    while high - low > 1:
+        middle = (low + high) // 2
+        if value_at(form, coefficients, middle) > budget:
+            high = middle
+        else:
+            low = middle
+    return high
--- /dev/null
+++ b/benchmarks/capacity_page.py
@@ -0,0 +1,357 @@
+"""The tables of docs/CAPACITY.md, from benchmarks/capacity.json alone. Pure but for `write`.
+
+A budget is told with the first size at which the fitted figure is above it; the list of these, sorted by the share of
+the design's size that is reached, says what is missing first."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import NamedTuple
+
+from benchmarks.capacity import CELL, CELLS_A_REGION, DESIGN, FILE, OUTAGES, void
+from benchmarks.capacity import load as load_file
+from benchmarks.capacity_fit import first_above, value_at
+
+PAGE = FILE.parent.parent / "docs" / "CAPACITY.md"
+MARK = re.compile(r"(<!-- capacity: (?P<name>[a-z ]+) -->\n).*?(<!-- end -->)", re.S)
+TIERS = "missing"
+PARTS_OF_TABLE = "parts of a table (`driftshed/brain.py`)"
+A_MINUTE, A_DAY = 60.0, 86400.0
+LEASE_PAUSE = 0.2  # seconds: the longest pause between question and act that a lease of 2 s allows
+VOID_MOST = 0.05  # of changes: assumed
+OUTAGE = 30.0  # seconds, of OUTAGES
+
+
+class Limit(NamedTuple):
+    """A budget. `key`: the row whose figure, times `factor`, must stay at `budget` or under; or a refusal's name."""
+
+    what: str
+    key: str
+    by: str
+    budget: float
+    unit: str
+    carries: str
+    factor: float = 1.0
+
+
+class Reached(NamedTuple):
+    """A budget with the first size above it, None where the design's size is within."""
+
+    limit: Limit
+    first: int | None
+    at_design: float | None
+
+    @property
+    def part(self) -> float:
+        """Of the size that is designed for."""
+        return float("inf") if self.first is None else self.first / DESIGN[self.limit.by]
+
+
+NETWORK, CORES, MEMORY = DESIGN["bytes_a_second"], DESIGN["cores"], DESIGN["memory"]
+LIMITS = (
+    Limit("a record names all supervisors", "refusal:names", "supervisors", 64, "names", TIERS),
+    Limit("a policy names all routes, as operations", "refusal:operations", "routes", 16, "operations", "missing"),
+    Limit("a policy's text fits into its record once settled", "document.document_bytes", "routes", 0, "bytes",
+          "missing"),
+    Limit("all servers' nodes are read by one session", "refusal:servers", "servers", 4096, "requests", "missing"),
+    Limit("a change that needs every word is void in at most 1 of 20", "void", "supervisors", VOID_MOST, "chance",
+          TIERS),
+    Limit("each says something of itself once a second", "chatter.chatter_bytes_a_second", "supervisors", NETWORK,
+          "bytes/s", TIERS),
+    Limit("reading these words", "roll.cores_of_words", "supervisors", CORES, "of a core", TIERS),
+    Limit("all join at once, over a minute", "joining.join_bytes", "supervisors", NETWORK, "bytes/s", TIERS,
+          1 / A_MINUTE),
+    Limit("restarts of an ordinary day", "one.one_restart_bytes", "supervisors", NETWORK, "bytes/s", TIERS,
+          DESIGN["restarts_a_day"] / A_DAY),
+    Limit("changes of an ordinary day, each by every word", "change.change_bytes", "supervisors", NETWORK, "bytes/s",
+          TIERS, DESIGN["changes_a_day"] / A_DAY),
+    Limit("a change until all have read it, worst", "phases.read_worst", "supervisors", DESIGN["everywhere_within"],
+          "s", TIERS),
+    Limit("the roll of a flat fleet", "roll_memory.roll_memory", "supervisors", MEMORY, "bytes", TIERS),
+    Limit("first list of all servers, over a minute", "listing.list_bytes", "servers", NETWORK, "bytes/s",
+          "missing", 1 / A_MINUTE),
+    Limit("replaced servers of an ordinary day", "listing.replaced_bytes", "servers", NETWORK, "bytes/s",
+          "`driftshed/roster/follow.py`", DESIGN["restarts_a_day"] / A_DAY),
+    Limit("the module at 350 proxies", "module_servers.cores", "servers", CORES, "of a core", PARTS_OF_TABLE),
+    Limit("the module's longest batch at 350 proxies", "module_servers.batch_ms", "servers", LEASE_PAUSE / 0.5,
+          "of 0.5 s", "missing"),
+    Limit("the module's memory at 350 proxies", "module_servers.memory", "servers", MEMORY, "bytes",
+          "`driftshed/brain.py`"),
+    Limit("the module at 400 servers", "module_proxies.cores", "proxies", CORES, "of a core", "`driftshed/brain.py`"),
+    Limit("the whole process at 64 proxies", "process_servers.process_cores", "servers", CORES, "of a core",
+          "`driftshed/supervisor/service.py`"),
+    Limit("the whole process's memory at 64 proxies", "process_servers.process_memory", "servers", MEMORY, "bytes",
+          "`driftshed/supervisor/service.py`"),
+    Limit("the whole process at 118 servers", "process_proxies.process_cores", "proxies", CORES, "of a core",
+          "`driftshed/supervisor/service.py`"),
+    Limit("the whole process's memory at 118 servers", "process_proxies.process_memory", "proxies", MEMORY, "bytes",
+          "`driftshed/supervisor/service.py`"),
+    Limit("the core, 64 proxies on one table of all servers", "core_servers.core_memory", "servers", MEMORY, "bytes",
+          PARTS_OF_TABLE),
+    Limit("changes to 64 proxies, a server replaced each 4 s", "fan_servers.fan_bytes_a_second", "servers", NETWORK,
+          "bytes/s", PARTS_OF_TABLE),
+    Limit("changes to proxies, 118 servers", "fan_proxies.fan_bytes_a_second", "proxies", NETWORK, "bytes/s",
+          "`driftshed/core/hub.py`, deltas"),
+)
+
+
+def row_of(results: dict, key: str) -> dict | None:
+    return next((row for row in results["rows"] if row["key"] == key), None)
+
+
+def at(row: dict, size: float) -> float:
+    """The figure at a size: as measured where it was, else by the fit."""
+    if size in row["sizes"]:
+        return row["values"][row["sizes"].index(size)]
+    return value_at(row["form"], row["coefficients"], size)
+
+
+def _refused(results: dict, name: str) -> int:
+    found = results["refusals"][name]
+    return found["first"] if isinstance(found, dict) else found
+
+
+def reached(results: dict, limit: Limit) -> Reached | None:
+    """None where the file has no run that could tell."""
+    most = DESIGN[limit.by]
+    if limit.key.startswith("refusal:"):
+        if "refusals" not in results:
+            return None
+        first = _refused(results, limit.key.partition(":")[2])
+        return Reached(limit, first if first <= most else None, float(most))
+    if limit.key == "void":
+        first = next((n for n in range(1, most + 1) if void(n, OUTAGE) > limit.budget), None)
+        return Reached(limit, first, void(most, OUTAGE))
+    row = row_of(results, limit.key)
+    if row is None:
+        return None
+    if limit.key == "document.document_bytes":
+        if "refusals" not in results:
+            return None
+        limit = limit._replace(budget=results["refusals"]["text_refused_settled"] - 1)
+    first = first_above(row["form"], row["coefficients"], limit.budget / limit.factor, most)
+    return Reached(limit, first, value_at(row["form"], row["coefficients"], most) * limit.factor)
+
+
+def first_exceeded(results: dict) -> list[Reached]:
+    """All budgets that the file's runs can tell of, what is missing first in front."""
+    found = [each for limit in LIMITS if (each := reached(results, limit)) is not None]
+    return sorted(found, key=lambda each: (each.part, each.limit.what))
+
+
+# ---- text -----------------------------------------------------------------------------------------------------
+
+
+def short(value: float | None, unit: str = "") -> str:
+    """A figure with three digits and its unit."""
+    if value is None:
+        return "-"
+    if unit in ("bytes", "bytes/s"):
+        for size, name in ((1e9, "GB"), (1e6, "MB"), (1e3, "kB"), (1.0, "B")):
+            if abs(value) >= size or size == 1.0:
+                return f"{_digits(value / size)} {name}{unit[5:]}"
+    return _digits(value)
+
+
+def _digits(value: float) -> str:
+    if value == 0 or abs(value) >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def table(head: list[str], rows: list[list[str]]) -> str:
+    lines = [head, ["---"] * len(head), *rows]
+    return "".join(f"| {' | '.join(row)} |\n" for row in lines)
+
+
+def missing_first(results: dict) -> str:
+    rows = []
+    for each in first_exceeded(results):
+        limit = each.limit
+        first = "not reached" if each.first is None else f"{each.first:,} {limit.by}"
+        of = "within" if each.first is None else f"{each.part:.2%}"
+        at_design = f"{DESIGN[limit.by]:,}" if limit.key.startswith("refusal:") else short(each.at_design, limit.unit)
+        rows.append([limit.what, f"{short(limit.budget, limit.unit)}"
+                     + ("" if limit.unit.startswith("bytes") else f" {limit.unit}"), first, of, at_design,
+                     limit.carries])  # fmt: skip
+    return table(["what", "budget", "first above it at", "of the design", "at the design, as it is", "carried by"],
+                 rows)  # fmt: skip
+
+
+def role_table(results: dict, role: str) -> str:
+    rows = []
+    for row in results["rows"]:
+        if row["role"] != role or row["kind"] == "computed":
+            continue
+        sizes, unit = row["sizes"], row["unit"]
+        low, high = row["spread"][-1]
+        spread = f"{_short(low, unit)} to {_short(high, unit)}"
+        if low == high:
+            spread = "exact" if row["kind"] == "count" else "one run" if row["rounds"] == 1 else spread
+        measured = f"{_short(row['values'][0], unit)}, {_short(row['values'][-1], unit)} ({spread})"
+        rows.append([row["what"], f"{row['by']}, {sizes[0]:,} to {sizes[-1]:,}", measured, row["form"],
+                     f"{row['held_out_error']:+.1%}", _short(row["at_design"], unit), row["time"],
+                     f"`{row['key'].partition('.')[0]}`"])  # fmt: skip
+    return table(["figure", "by", "at the least and largest size (spread there)", "grows as", "held out: off by",
+                  "at the design", "time", "part"], rows)  # fmt: skip
+
+
+def _short(value: float, unit: str) -> str:
+    return short(value, unit) if unit.startswith("bytes") else f"{_digits(value)} {unit}"
+
+
+def cells(results: dict) -> str:
+    """What the slopes make of a fleet in tiers: a member is one of a cell, whoever speaks for the cell is one of its
+    region's fleet besides, and whoever speaks for the region one of the whole's, too."""
+    rows = []
+    for limit in LIMITS:
+        row = row_of(results, limit.key)
+        if limit.by != "supervisors" or row is None or limit.key.startswith("phases."):
+            continue
+        share = CELL / DESIGN["supervisors"] if limit.key.startswith("one.") else 1.0  # restarts within the cell alone
+        member = at(row, CELL) * limit.factor * share
+        region = at(row, CELLS_A_REGION) * limit.factor * share
+        whole = at(row, DESIGN["regions"]) * limit.factor * share
+        unit = limit.unit
+        rows.append([limit.what, _short(limit.budget, unit),
+                     *(_short(each, unit) for each in (member, member + region, member + region + whole)),
+                     f"{(member + region + whole) / limit.budget:.1%}"])  # fmt: skip
+    return table(["what", "budget", f"one of {CELL}", f"and of {CELLS_A_REGION}: speaks for its cell",
+                  f"and of {DESIGN['regions']}: speaks for its region", "of the budget"], rows)  # fmt: skip
+
+
+def voids(results: dict) -> str:
+    rows = [row for row in results["rows"] if row["key"].startswith("void.")]
+    sizes = rows[0]["sizes"]
+    return table(["away at each restart", *(f"{size:,}" for size in sizes)],
+                 [[f"{outage:g} s", *(f"{value:.1%}" for value in row["values"])]
+                  for outage, row in zip(OUTAGES, rows, strict=True)])  # fmt: skip
+
+
+def day(results: dict) -> str:
+    """Bytes a second of a supervisor on an ordinary day, flat and in a cell; computed from slopes and told rates."""
+    rows = []
+    whole, restarts = DESIGN["supervisors"], DESIGN["restarts_a_day"]
+    for what, key, a_day in (
+        ("at rest (time-out 2 s)", "standing.rest_bytes_a_second", None),
+        ("restarts of others", "one.one_restart_bytes", restarts),
+        ("changes of policy", "change.change_bytes", DESIGN["changes_a_day"]),
+        ("a word of each other each minute", "one.one_word_bytes", "words"),
+    ):
+        row = row_of(results, key)
+        if row is None:
+            continue
+        cells = []
+        for size in (whole, CELL):
+            value = at(row, size)
+            if a_day == "words":
+                value *= (size - 1) / 60
+            elif a_day is not None:
+                value *= a_day / A_DAY * (size / whole if key.startswith("one.") else 1)
+            cells.append(short(value, "bytes/s"))
+        rows.append([what, *cells, f"`{key.partition('.')[0]}`, {row['form']}"])
+    return table(["of one supervisor", "flat, 5,200", f"in a cell of {CELL}", "slope"], rows)
+
+
+def bursts(results: dict) -> str:
+    if "bursts" not in results:
+        return ""
+    rows = []
+    for each in results["bursts"]["rows"]:
+        for what in ("lost", "back"):
+            if f"{what}_seconds" not in each:
+                continue
+            rows.append([f"{each['lost']} of {each['of']} {'die' if what == 'lost' else 'come back at once'}",
+                         f"{each[f'{what}_seconds']:.1f} s", short(each[f"{what}_survivor_bytes"], "bytes")
+                         if each["lost"] < each["of"] else "-", short(each[f"{what}_each_peak"], "bytes/s"),
+                         short(each[f"{what}_store_peak"], "bytes/s"), short(each[f"{what}_store_bytes"], "bytes")]
+                        )  # fmt: skip
+    return table(["what", "until all know", "each other one reads and writes", "the fullest second of one",
+                  "of the store", "of the store in all"], rows)  # fmt: skip
+
+
+def phases(results: dict) -> str:
+    rows = []
+    for what, told in (("open", "the record stands"), ("words", "all words do"), ("settled", "it is settled"),
+                       ("read", "all have read so")):  # fmt: skip
+        p50, worst = row_of(results, f"phases.{what}_p50"), row_of(results, f"phases.{what}_worst")
+        if p50 is not None and worst is not None:
+            rows.append([told, *(f"{a:.3f}, {b:.3f}" for a, b in zip(p50["values"], worst["values"], strict=True))])
+    row = row_of(results, "phases.read_p50")
+    return table(["seconds from the proposal until", *(f"{n} supervisors" for n in row["sizes"])], rows) if row else ""
+
+
+class Ensemble(NamedTuple):
+    name: str
+    count: int  # of such ensembles
+    cells: int  # on each
+    regions: int  # on each
+    whole: int  # fleets of the whole
+
+
+ENSEMBLES = (
+    Ensemble("a region of three zones and its neighbour of two", 3, 2 * CELLS_A_REGION, 2, 0),
+    Ensemble("a region of three zones", 3, CELLS_A_REGION, 1, 0),
+    Ensemble("the whole, in three regions", 1, 0, 0, 1),
+)
+
+
+def sessions(each: Ensemble) -> int:
+    """Members of cells, a speaker's second session for each cell in its region, a third for each region in the
+    whole."""
+    return each.cells * (CELL + 1) + each.whole * DESIGN["regions"]
+
+
+def machines(results: dict) -> str:
+    rest, join = row_of(results, "standing.store_rest_bytes_a_second"), row_of(results, "joining.store_join_bytes")
+    if rest is None or join is None:
+        return ""
+    rows = []
+    for each in ENSEMBLES:
+        resting = (each.cells * at(rest, CELL) + each.regions * at(rest, CELLS_A_REGION)
+                   + each.whole * at(rest, DESIGN["regions"]))  # fmt: skip
+        joined = (each.cells * at(join, CELL) + each.regions * at(join, CELLS_A_REGION)
+                  + each.whole * at(join, DESIGN["regions"]))  # fmt: skip
+        count = sessions(each)
+        rows.append([f"{each.name} ({each.count} of 3 machines)", f"{count:,}", f"{count / 3:,.0f}, {count / 2:,.0f}",
+                     short(resting, "bytes/s"), f"{short(resting / 3, 'bytes/s')}, {short(resting / 2, 'bytes/s')}",
+                     short(joined, "bytes")])  # fmt: skip
+    return table(["ensemble", "sessions", "a machine; with one gone", "bytes at rest (time-out 2 s)",
+                  "a machine; with one gone", "all of them join at once"], rows)  # fmt: skip
+
+
+def single(results: dict) -> str:
+    """Refusals, as found."""
+    if "refusals" not in results:
+        return ""
+    found, lines = results["refusals"], []
+    crowd = found["members"]["runs"][-1]
+    servers = found["servers"]["runs"][-1]
+    lines.append(f"- {found['names']} names in a record: refused (`coordination/agreement.py`).\n")
+    lines.append(f"- {found['operations']} operations in a policy, or at a supervisor: refused.\n")
+    lines.append(f"- A policy's text of {found['text_refused_open']:,} bytes: its record is refused. From "
+                 f"{found['text_refused_settled']:,} bytes on it is opened and can never be settled, since a settled "
+                 "record holds it twice; the policy itself may have 32,768.\n")  # fmt: skip
+    lines.append(f"- One that joins {crowd['size']:,} reads {crowd['knows']:,} names, 4,096 at a time (`roster/"
+                 f"session.py`), and {'holds' if crowd['holds'] else 'never holds'} a lease.\n")  # fmt: skip
+    lines.append(f"- A list of {found['servers']['first']:,} servers' nodes or more is told as whole and is not: at "
+                 f"{servers['size']:,} it has {servers['list_knows']:,}.\n")  # fmt: skip
+    return "".join(lines)
+
+
+BLOCKS = {
+    "missing first": missing_first, "refusals": single, "cells": cells, "voids": voids, "day": day, "bursts": bursts,
+    "phases": phases, "machines": machines,
+    **{role: (lambda results, role=role: role_table(results, role))
+       for role in ("supervisor", "store", "proxy", "command line")},
+}  # fmt: skip
+
+
+def filled(page: str, results: dict) -> str:
+    """The page with each marked block as the file has it. KeyError: a block that is not known."""
+    return MARK.sub(lambda found: found[1] + BLOCKS[found["name"]](results) + found[3], page)
+
+
+def write(path: Path = PAGE) -> None:
+    path.write_text(filled(path.read_text(), load_file()))
