--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -76,7 +76,7 @@
     Limit("the module at 350 proxies", "module_servers.cores", "servers", CORES, "of a core", PARTS_OF_TABLE),
     Limit("the module's longest batch at 350 proxies", "module_servers.batch_ms", "servers", LEASE_PAUSE / 0.5,
           "of 0.5 s", "missing"),
-    Limit("the module's memory at 350 proxies", "module_servers.memory", "servers", MEMORY, "bytes",
+    Limit("the module's memory at 350 proxies", "module_memory.module_memory", "servers", MEMORY, "bytes",
           "`driftshed/brain.py`"),
     Limit("the module at 400 servers", "module_proxies.cores", "proxies", CORES, "of a core", "`driftshed/brain.py`"),
     Limit("the whole process at 64 proxies", "process_servers.process_cores", "servers", CORES, "of a core",
@@ -221,6 +221,18 @@
                   f"and of {DESIGN['regions']}: speaks for its region", "of the budget"], rows)  # fmt: skip
 
 
+def checked(results: dict) -> str:
+    """Figures measured at the design's own size, beside what the slopes make of it."""
+    rows = []
+    for each in results.get("checked", {"rows": []})["rows"]:
+        row = row_of(results, each["key"])
+        low, high = each["spread"]
+        spread = "" if low == high else f" ({_short(low, row['unit'])} to {_short(high, row['unit'])})"
+        rows.append([row["what"], f"{each['size']:,} {row['by']}", _short(each["value"], row["unit"]) + spread,
+                     _short(row["at_design"], row["unit"]), row["form"]])  # fmt: skip
+    return table(["figure", "at", "measured", "by the slope", "grows as"], rows)
+
+
 def voids(results: dict) -> str:
     rows = [row for row in results["rows"] if row["key"].startswith("void.")]
     sizes = rows[0]["sizes"]
@@ -341,7 +353,8 @@
 
 
 BLOCKS = {
-    "missing first": missing_first, "refusals": single, "cells": cells, "voids": voids, "day": day, "bursts": bursts,
+    "missing first": missing_first, "refusals": single, "cells": cells, "checked": checked, "voids": voids,
+    "day": day, "bursts": bursts,
     "phases": phases, "machines": machines,
     **{role: (lambda results, role=role: role_table(results, role))
        for role in ("supervisor", "store", "proxy", "command line")},
--- a/benchmarks/capacity_process.py
+++ b/benchmarks/capacity_process.py
@@ -53,19 +53,23 @@
         tracemalloc.stop()
 
 
-def resident() -> int:
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
-
-
 # ---- supervisor -----------------------------------------------------------------------------------------------
 
 
 def module(servers: int, proxies: int, seconds: float = 5.0) -> dict:
     """The module alone: see `benchmarks/events.py`."""
-    before = resident()
     found = module_events.measure(servers, proxies, seconds)
-    return {"cores": found["cores"], "batch_ms": found["worst_batch_ms"], "us_an_event": found["us_an_event"],
-            "memory": resident() - before}  # fmt: skip
+    return {"cores": found["cores"], "batch_ms": found["worst_batch_ms"], "us_an_event": found["us_an_event"]}
+
+
+def module_memory(servers: int, proxies: int, seconds: float = 2.0) -> dict:
+    """What the module holds once all have joined and two seconds have passed."""
+    with Held() as held:
+        brain = Brain(module_events.make_facts(proxies), 1, 100.0)
+        for now, happened in module_events.batches(servers, proxies, seconds, 100.0, lambda: brain):
+            brain.handle(now, happened)
+        del happened
+    return {"module_memory": held.bytes}
 
 
 def dealt(servers: int, proxies: int = 64) -> dict:
@@ -402,8 +406,8 @@
 def main() -> None:
     what, sizes = sys.argv[1], [int(each) for each in sys.argv[2:]]
     measures = {each.__name__: each for each in (
-        module, dealt, fanout, table, core, roll, roll_memory, proxy_tables, store_sessions, store_nodes, store_fleet,
-        store_rest, supervisor, document, fleet_view, policy_view)}  # fmt: skip
+        module, module_memory, dealt, fanout, table, core, roll, roll_memory, proxy_tables, store_sessions, store_nodes,
+        store_fleet, store_rest, supervisor, document, fleet_view, policy_view)}  # fmt: skip
     if what not in measures:
         raise SystemExit(f"{what}: no such measure; there is {', '.join(measures)}")
     print(json.dumps(measures[what](*sizes)))
