--- a/benchmarks/capacity_process.py
+++ b/benchmarks/capacity_process.py
@@ -267,7 +267,7 @@
             for k in range(count):
                 _ask(store, line, jute.GetData(f"/m/s{k:04}~1", True))
     assert sum(len(each.data) for each in store.tree.sessions.values()) == count * count
-    return {"store_fleet_memory": held.bytes}
+    return {"store_watch_memory": held.bytes / count**2}
 
 
 def store_rest(count: int, seconds: float = 5.0) -> dict:
