--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -93,9 +93,9 @@
         "chatter_bytes_a_second": _count(SUP, "each says something once a second", "bytes/s"),
     }, flat.chatter, counts=True, seeds=(1, 2, 3), time="virtual"),
     "change": Part("supervisors", (8, 16, 24, 32, 48, 64), {
-        "change_bytes": _count(SUP, "one change of policy"),
-        "change_messages": _count(SUP, "one change of policy", "messages"),
-        "proposer_change_bytes": _count(SUP, "one change of policy, its proposer"),
+        "change_bytes": _count(SUP, "one change of policy; its proposer"),
+        "change_messages": _count(SUP, "one change of policy; its proposer", "messages"),
+        "proposer_change_bytes": _count(SUP, "one change of policy; its proposer"),
         "store_change_bytes": _count(STORE, "one change of policy, all"),
     }, flat.change, counts=True, seeds=(1, 2, 3), time="virtual"),
     "phases": Part("supervisors", (8, 16, 24, 32, 48, 64), {
@@ -105,10 +105,10 @@
         for name in ("p50", "worst")
     }, flat.phases, counts=True, seeds=(1, 2, 3), time="virtual"),
     "one": Part("supervisors", (64, 256, 1024, 2048, 4000), {
-        "one_join_bytes": _count(SUP, "one joins those that stand"),
+        "one_join_bytes": _count(SUP, "one joins those that stand; one restart, read by one"),
         "one_word_bytes": _count(SUP, "one word, read by one of so many"),
         "one_death_bytes": _count(SUP, "one death, read by one of so many"),
-        "one_restart_bytes": _count(SUP, "one restart, read by one of so many"),
+        "one_restart_bytes": _count(SUP, "one joins those that stand; one restart, read by one"),
     }, flat.one_among, counts=True, time="virtual"),
     **{f"tier_{by}": Part(by, sizes, {
         "tier_rest_member": _count(SUP, f"in tiers, at rest, a member ({rest})", "bytes/s"),
@@ -124,8 +124,8 @@
         ("regions", "2 cells of 3 members each", (2, 3, 5, 7, 9), tiers.by_regions),
     )},
     "listing": Part("servers", (250, 500, 1000, 2000, 4000), {
-        "list_bytes": _count(SUP, "first list of the servers' nodes"),
-        "replaced_bytes": _count(SUP, "one server replaced"),
+        "list_bytes": _count(SUP, "first list of the servers' nodes; one replaced"),
+        "replaced_bytes": _count(SUP, "first list of the servers' nodes; one replaced"),
     }, flat.listing, counts=True, time="virtual"),
     "table": Part("servers", (125, 250, 500, 1000, 2000, 4000), {
         "whole_bytes": _count(SUP, "one table of all servers, to one proxy; one line of it"),
