--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -61,16 +61,16 @@
         self.by_two, self.head = facts.pick == "two", facts.lines_per_message + 1  # and the mark
         self.pace, self.due_within = facts.lines_per_second, facts.drain_grace - facts.transit
         self.round_lines = ORDINARY_SHARE * min(self.cap, self.pace * facts.drain_grace)
-        self.most_ahead = 3 / 2 * self.pace * facts.worst_transit  # of tables: the channel is not idle by then
+        self.most_ahead = 2 * self.pace * facts.worst_transit  # of tables: the channel is not idle by then
         self.message_cap, self.message_span = facts.message_cap, facts.message_span
         self.gap = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
         self.patience = 4 * facts.worst_transit + 8 * facts.queue_cap / facts.lines_per_second
         self.tick, self.learns = facts.report_period / 2, facts.report_period / 2 / BASELINE_OVER
         self.objectives = [operation.latency_objective for operation in facts.operations]
         value = [operation.billed_value / operation.latency_objective for operation in facts.operations]
-        self.cheap, self.levels_by = [each < CHEAP_WITHIN * min(value) for each in value], facts.level_form
+        self.cheap = [each < CHEAP_WITHIN * min(value) for each in value]
+        self.levels_by = facts.level_form
         self.all_in = 1.0 if self.levels_by == "share" else float(2**30)  # a level that stops nothing
-        self.unset = self.all_in, facts.default_tries  # what holds where nothing was ordered
         told = facts.load_fields if facts.load_reports_come == "inline" else ()
         self.tells_busy = told.index("utilisation") if "utilisation" in told else None
         self.control_every = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
@@ -569,7 +569,7 @@
                 ordinary = [row for row in ordinary if row[1] != part]
         for k, (level, tries) in enumerate(self.valves_wanted):
             for part in range(len(self.part_zone)):
-                present, how = self.valve.get((part, k), self.unset)
+                present, how = self.valve.get((part, k), (0.0, None))
                 if how != tries or abs(level - present) >= WORTH_SENDING * present:
                     ordinary.append((-1.0, part, face.SetLevel(part, level, 1 << k, tries)))
         users: dict[int, list[int]] = defaultdict(list)
