--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -15,14 +15,15 @@
  6. Parts: where the shared table is too long, it is laid out in parts that the proxies are dealt to.
 """
 
-from collections import Counter, OrderedDict, defaultdict, deque
+from collections import OrderedDict, defaultdict, deque
 from math import ceil
 from random import Random
 
 from driftshed import interface as face
 from driftshed.figures import RunningMedian, fair_rate, median, weighted_median
 
-LONG_AGO, ANYWHERE, NOBODY = float("-inf"), -1, -1  # zone of a small fleet's one part; part without a line
+LONG_AGO = float("-inf")
+ANYWHERE = NOBODY = -1  # the zone of the one part of a small fleet; the part of a server without a line
 
 # The design's values. Spans are seconds.
 SLOW_TIMES, ERRED_SHARE = 2.0, 0.10  # what a zone complains of
@@ -30,26 +31,34 @@
 ZONES_TO_AGREE, MOST_OUT, MOST_OUT_SHARE = 2, 2, 1 / 3
 BUDGET, BUDGET_SPAN, OUT_FOR = 5, 30.0, 10.0  # withdrawals
 ENTRY_PART, ENTRY_STEP, STEPS_IN = 0.1, 2.0, 4  # of the average weight, doubling every step, whole after four
-SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR, WORTH_SENDING = 3.0, 0.2, 0.5, 2.0, 0.1
+SOLVE_EVERY, SOLVE_STEP, LEAST_FACTOR, MOST_FACTOR = 3.0, 0.2, 0.5, 2.0
+WORTH_SENDING = 0.1  # of the weight that stands
 
 # Ours.
 SPARED = 2 / 3  # of the tip multiple: what a cold server may be asked for
 STAYS = 1 / 2  # of the weight that a part should have: with less left of it, its other changes are as urgent
-DAMPED, LEAK = 1 / 3, 1 / 3  # powers: of the ratio in a step, mostly queueing; back where weights are listed
-KEPT, VIEW = 1 / 2, LASTING / 2  # of what was met, from solve to solve; a zone's median is over so long
-STRAINED, EASED = 2 / 5, 2 / 3  # the median server takes more than this of the objective; of that: no strain
-LONGER, BUSY = 1.5, 0.85  # or times the least it took, or the time at the best part; share of cores in use
+DAMPED = 1 / 3  # power of the latency ratio in a step: most of a latency is queueing, which answers late
+LEAK = 1 / 3  # a solve's step back toward the start, as a power, where weights are listed
+KEPT = 1 / 2  # of what was met, from one solve to the next
+VIEW = LASTING / 2  # a zone's median is over the reports of this long
+STRAINED = 2 / 5  # the median server takes more than this of the objective: strain
+EASED = 2 / 3  # of that: no strain
+LONGER = 1.5  # or more than this much of the least it took; of the time at the best part
+BUSY = 0.85  # share of a server's cores in use
 HEADROOM, LEAST_LET_IN = 0.9, 0.1  # what is let in at the most, of what is answered; at the least, of all
 LARGEST_CUT, LARGEST_RISE = 0.6, 1.2  # of what is let in, at a time
-FADE, SPARE_TRIES = 0.97, 0.05  # of the best seen, from look to look; beyond the first, of what comes
+FADE = 0.97  # of the best that was seen, from look to look
+SPARE_TRIES = 0.05  # beyond the first, of what comes
 CHEAP_WITHIN = 2.0  # operations whose value per unit of work is within this of the least are cut together
-DEAD_SHARE, TRIES_TO_JUDGE = 0.9, 5  # more err: counts in half the time; with fewer a zone says nothing
+MARKS = 65534  # as many numbers as marks have
+DEAD_SHARE = 0.9  # of the tries err: complaints of it count in half the time
+TRIES_TO_JUDGE = 5  # with fewer in its view a zone says nothing
 BASELINE_OVER = 2 * LAPSE  # how slowly a zone's baseline learns
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is for the urgent
 PART_LINES, PROXIES_A_PART = 2, 5  # standing tables' lines in a part; proxies that share it at the least
 CONNECTIONS = 1 / 7  # of what servers accept, as they slow down while filling: proxies with lines to one
 NEAR, UNEVEN = 4.0, 0.2  # what a part of the own zone counts for; beyond its due a part gives proxies away
-BALANCING, MARKS = 4, 65534  # rounds that bring demand in line with the parts' weight; numbers of marks
+BALANCING = 4  # rounds that bring what zones bring to the parts in line with their weight
 
 
 class Brain:
@@ -59,9 +68,7 @@
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
         self.spare, self.cap = facts.tip_multiple * SPARED, facts.queue_cap
         self.by_two, self.head = facts.pick == "two", facts.lines_per_message + 1  # and the mark
-        self.pace, self.due_within = facts.lines_per_second, facts.drain_grace - facts.transit
-        self.round_lines = ORDINARY_SHARE * min(self.cap, self.pace * facts.drain_grace)
-        self.most_ahead = 2 * self.pace * facts.worst_transit  # of tables: the channel is not idle by then
+        self.round_lines = ORDINARY_SHARE * min(self.cap, facts.lines_per_second * facts.drain_grace)
         self.message_cap, self.message_span = facts.message_cap, facts.message_span
         self.gap = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
         self.patience = 4 * facts.worst_transit + 8 * facts.queue_cap / facts.lines_per_second
@@ -77,7 +84,8 @@
         self.part_lines = PART_LINES * max(1, facts.standing_lines)
         self.room_for_lines = CONNECTIONS * (facts.least_connections or 0.0) / max(1, facts.proxies)
         self.most_parts = facts.proxies / max(1, facts.supervisors) / PROXIES_A_PART
-        # Guards against steering all to the fastest while nobody is busy, when latency does not answer yet.
+        # Guards against steering all to the fastest while nobody is busy: their latency does not answer until
+        # they are swamped. Listed weights say what is due; where there are none, what was learnt stays.
         self.leak = LEAK if self.weighs else 0.0
         zones = range(len(facts.zones))
         # Servers: parallel arrays under a dense index. Factor: learnt, beside the listed weight; out_at: out
@@ -90,19 +98,20 @@
         # What each zone says of each server; view: judged when, times the usual, erred share.
         self.says = [[[] for _ in zones] for _ in range(5)]
         self.reports, self.baseline, self.since, self.renewed, self.view = self.says
-        # The views of the last while, oldest first, and their medians: kept as they come and lapse.
+        # The views of the last while, oldest first, and the medians of what they say: kept up to date as
+        # they come and lapse, so that a report costs the same in a fleet of any size.
         self.fresh: list[OrderedDict[int, tuple]] = [OrderedDict() for _ in zones]
         self.usual_slow, self.usual_erred = [[RunningMedian() for _ in zones] for _ in range(2)]
         # Parts: the zone of the servers of each, what each zone met there (as in met), withdrawals of late.
         self.part_zone, self.bears, self.fleeing = [], {}, set()
         self.seen, self.spent = defaultdict(lambda: [0.0, 0.0, 0.0]), defaultdict(deque)
-        # Proxies: zone, what comes, when written to and joined, part due and held, mark and lines to answer;
-        # the channel: mark, lines, when; lines of a mark that have left; when drains were told, and may go.
+        # Proxies: zone, what comes, when written to and joined, the part it should hold and does hold, the
+        # mark that it has yet to answer; and the channel: mark, lines, when.
         self.home, self.demand, self.rate, self.sent_at, self.joined_at = {}, {}, {}, {}, {}
-        self.due_part, self.held_part, self.unanswered, self.owes = {}, {}, {}, {}
+        self.due_part, self.held_part, self.unanswered = {}, {}, {}
         self.channel, self.marks, self.levels_under_way, self.first_list = deque(), 0, False, True
-        self.answered, self.drains_since, self.drains_from = (0, 0.0), now, now
-        self.mix, self.tries, self.let_in = [1.0 for _ in self.objectives], face.ONE_AFTER_PROOF, 1.0
+        self.mix = [1.0 for _ in self.objectives]
+        self.let_in, self.tries = 1.0, face.ONE_AFTER_PROOF  # the part of all that comes
         # The least that the median server took, rising slowly; the most that a unit of weight answered,
         # fading; that against the tries that come and come again: the worst, for one that starts blind.
         self.floor, self.unit, self.crowding = float("inf"), 0.0, facts.tip_multiple**-2
@@ -140,7 +149,8 @@
         if listing.kind == face.FAILED:
             self.next_ask = self.now + self.ask_again * self.random.uniform(0.2, 1)
             return
-        self.next_ask = self.next_ask if listing.kind == face.CACHED else None  # else answered, or changes
+        if listing.kind != face.CACHED:
+            self.next_ask = None  # a subscription's answer, or its changes
         if listing.kind != face.DELTA:
             named = {entry.server for entry in listing.entries}
             for i in [i for server, i in self.place.items() if server not in named]:
@@ -148,7 +158,8 @@
                 self.gone.setdefault(i)
         if self.first_list:
             self._divide([entry for entry in listing.entries if entry.state == face.READY])
-        self.tally = [(defaultdict(int), [0.0]) for _ in self.part_zone]  # of each: servers by kind, weight
+        # Of each part: its servers by kind, and their weight; kept as the entries are gone through.
+        self.tally = [(defaultdict(int), [0.0]) for _ in self.part_zone]
         for i in range(len(self.ids)):
             self._count(i, 1)
         for entry in listing.entries:
@@ -157,7 +168,8 @@
         self.first_list &= face.READY not in self.state  # with nobody ready it tells nothing of the fleet
 
     def _divide(self, ready: list) -> None:
-        """The parts of the shared table. Guards against a whole one: servers by proxies in lines."""
+        """The parts of the shared table. Guards against a whole one that no proxy can be sent in time: a line
+        to every server at every proxy costs connections, lines and messages by the product of both."""
         shorter = max(self.part_lines / PART_LINES, self.room_for_lines * len(ready))
         fits = max(min(self.part_lines, shorter), len(ready) / max(1.0, self.most_parts))
         counts = [sum(entry.zone == zone for entry in ready) for zone in range(len(self.reports))]
@@ -230,9 +242,10 @@
 
     def _hear_joined(self, joined: face.Joined) -> None:
         self._hear_left(joined)
-        proxy, rates = joined.proxy, [joined.rate * part / sum(self.mix) for part in self.mix]
-        self.sent_at[proxy], self.home[proxy], self.joined_at[proxy] = deque(), joined.zone, self.now
-        self.demand[proxy], self.rate[proxy] = rates, sum(rates)
+        self.sent_at[joined.proxy], self.home[joined.proxy] = deque(), joined.zone
+        self.joined_at[joined.proxy] = self.now
+        self.demand[joined.proxy] = [joined.rate * part / sum(self.mix) for part in self.mix]
+        self.rate[joined.proxy] = sum(self.demand[joined.proxy])
 
     def _hear_left(self, left: face.Left) -> None:
         parts = self.due_part, self.held_part, self.unanswered
@@ -247,8 +260,6 @@
             while self.channel[0][0] != applied.mark:
                 self.channel.popleft()
         if self.unanswered.get(applied.proxy) == applied.mark:
-            mark, lines = self.answered
-            self.answered = applied.mark, lines * (mark == applied.mark) + self.owes[applied.proxy]
             del self.unanswered[applied.proxy]
             if not self.unanswered:
                 self.channel.clear()
@@ -280,8 +291,9 @@
         usual = self.baseline[zone][i]
         slow = took / usual if took is not None and usual else 0.0
         self._see(zone, i, slow, erred)
-        # Guards against naming the noisiest in a fleet-wide trouble: what it meets at most servers names none
-        # (nor half of a fleet that fails together). In place of the design's 50 ms: late answers.
+        # Guards against naming the noisiest in a fleet-wide trouble (overload, a slow thing behind all): what
+        # a zone meets at most of its servers names none. It would miss half of a fleet that fails together.
+        # In place of the design's 50 ms: a slow server's answers come too late.
         late = took is not None and took > self._objective()
         late = late and slow > SLOW_TIMES * max(1.0, self.usual_slow[zone].value())
         if late or erred > max(ERRED_SHARE, SLOW_TIMES * self.usual_erred[zone].value()):
@@ -322,10 +334,13 @@
 
     def _judge(self) -> None:
         """The design's withdrawals and returns."""
-        members, named = self._members(), []
-        for i in (i for servers in members for i in servers):
+        members = self._members()
+        ready = [i for servers in members for i in servers]
+        for i in ready:
             if self.out_at[i] is not None and self.now - self.out_at[i] >= OUT_FOR:
                 self._enter(i, self.now)
+        named = []
+        for i in ready:
             if self.out_at[i] is None:
                 # Its zones are those that have judged it of late: a part may be known to one zone alone.
                 zones = [zone for zone, view in enumerate(self.view) if view[i][0] > self.now - LAPSE]
@@ -348,14 +363,16 @@
             self.orders.append(face.Log(f"withdrawn {self.ids[i].hex()}, {out} were out: {said}"))
 
     def _names(self, zone: int, i: int) -> bool:
-        # Guards against one that answers next to nothing and holds what it takes; under strain weak ones do.
+        # Guards against a server that answers next to nothing and holds what it takes until clients give
+        # up: it needs less patience than a late one. Not under strain, when weak servers look dead.
         dead = self.view[zone][i][2] >= DEAD_SHARE and self.tries != face.NO_TRY
         since, lapsed = self.since[zone][i], self.renewed[zone][i] < self.now - LAPSE
         return since is not None and not lapsed and self.now - since >= LASTING * (1 / 2 if dead else 1)
 
     def _solve(self) -> None:
         """The companion: each weight one step toward equal latency."""
-        # Guards against a server that draws work by failing or is late: an errored try adds an objective.
+        # Guards against a server that keeps or draws work by failing: an errored try adds a whole objective.
+        # It also turns work from a weak server whose answers come too late.
         enough = {i: row for i, row in enumerate(self.met) if row[0] >= TRIES_TO_JUDGE and row[2] > 0}
         latency = {i: took / max(1.0, good) for i, (_, good, took) in enough.items()}
         for row in [*self.met, *self.seen.values()]:
@@ -367,8 +384,9 @@
             self.factor[i] = min(MOST_FACTOR, max(LEAST_FACTOR, self.factor[i] ** (1 - self.leak) * step))
 
     def _control(self) -> None:
-        """Guards against a fleet asked for more than it does, or jammed by repeats. The median server's good
-        answers tell, so single sick ones and quick failures move nothing. Harm: a slow thing behind all."""
+        """Guards against a fleet that is asked for more than it can do, or is jammed by what it repeats. The
+        median server's good answers tell, so that single sick servers, and tries that fail at once, move
+        nothing. Harm: a slow thing behind all that would pass by itself."""
         took = weighted_median([(total / good, good) for _, good, total in self.strain if good])
         tries, good = sum(row[0] for row in self.strain), sum(row[1] for row in self.strain)
         # Guards against levels cut since proxies have joined whose tries no report tells of yet.
@@ -430,7 +448,8 @@
 
     def _wanted_lines(self) -> list[float]:
         """The weight that each server's line should have now; 0 for no line."""
-        wanted, members = [0.0] * len(self.ids), self._members()
+        wanted = [0.0] * len(self.ids)
+        members = self._members()
         ready = [i for servers in members for i in servers]
         entry = sum(self.listed[i] for i in ready) / max(1, len(ready)) * ENTRY_PART
         full, brought = self._full(), [0.0] * len(members)
@@ -441,9 +460,11 @@
             settled = sum(self.listed[i] for i in servers if steps[i] >= STEPS_IN and self.out_at[i] is None)
             entering = settled < sum(self.listed[i] for i in servers) / 2
             for i in servers:
-                # Steps presume others that carry the rest: not with most of the part still entering.
-                stepped = float("inf") if entering else entry * 2 ** steps[i]
-                wanted[i] = min(self.listed[i] * self.factor[i], stepped)
+                wanted[i] = self.listed[i] * self.factor[i]
+                # Steps presume others that carry the rest. With most of the part still entering they would
+                # push over the few that are in, so then only what a cold one is sure to bear holds it back.
+                if not entering:
+                    wanted[i] = min(wanted[i], entry * 2 ** steps[i])
             # Guards against queues at a server that is half warm: no more than it is sure to do by now.
             cold, self.bears[part] = {}, 0.0
             for i in servers:
@@ -481,7 +502,8 @@
         rate, come = self.rate, sum(self.rate.values())
         # Guards against pushing over a part of cold servers alone: what they do not bear leaves at once.
         left = {part: most * come for part, most in self.bears.items() if most < float("inf")}
-        self.fleeing, bearing = set(), (p for p, at in self.due_part.items() if at in left and p not in lost)
+        self.fleeing = set()
+        bearing = (p for p, part in self.due_part.items() if part in left and p not in lost)
         for proxy in sorted(bearing, key=lambda p: (rate[p], p)):
             left[self.due_part[proxy]] -= rate[proxy]
             if left[self.due_part[proxy]] < 0:
@@ -518,7 +540,8 @@
 
     def _answers(self, zone: int) -> list[float]:
         """How well each part answers a zone, up to 1; what is not heard of counts as well again. Guards
-        against one reached badly: a building lost before the list tells, a sick way, trouble of our own."""
+        against one that a zone reaches badly: a building lost before the list tells, a sick way, trouble of
+        our own."""
         rows = [self.seen[zone, part] for part in range(len(self.part_zone))]
         best = min((took / good for _, good, took in rows if good >= TRIES_TO_JUDGE), default=0.0)
         if not best:
@@ -534,8 +557,9 @@
         held = [sum(w for w, at in zip(weight, self.part_zone, strict=True) if at == zone) for zone in zones]
         usual = sum(come) / (sum(h for h, c in zip(held, come, strict=True) if c) or 1.0)
         come = [each or usual * held[zone] for zone, each in enumerate(come)]
-        rows = [zip(weight, self.part_zone, self._answers(zone), strict=True) for zone in zones]
-        pull = [[w * (NEAR if at == zone else 1.0) * a for w, at, a in row] for zone, row in enumerate(rows)]
+        near = [[NEAR if place == zone else 1.0 for place in self.part_zone] for zone in zones]
+        rows = [zip(weight, near[zone], self._answers(zone), strict=True) for zone in zones]
+        pull = [[w * n * answers for w, n, answers in row] for row in rows]
         for _ in range(BALANCING):
             due = [[come[zone] * each / sum(row) for each in row] for zone, row in enumerate(pull)]
             brought = [sum(column) or 1.0 for column in zip(*due, strict=True)]
@@ -548,7 +572,7 @@
             self.channel.popleft()  # a lost answer must not stall the rest
             kept = {mark for mark, _, _ in self.channel}
             self.unanswered = {p: mark for p, mark in self.unanswered.items() if mark in kept}
-        urgent, ordinary, go, messages = [], [], [], {}
+        urgent, ordinary = [], []
         for i, weight in enumerate(lines):
             part, present = self.part[i], self.line[i]
             line = (part, face.SetLine(self.ids[i], weight, part))
@@ -564,7 +588,8 @@
             stays[part] += 0.0 if gone else min(line, present)
         for part in {part for weight, part, _ in urgent if not weight}:
             if stays[part] <= self.weight[part] * STAYS:
-                # Guards against cold servers left with all: what replaces most of a part goes with its end.
+                # Guards against a moment without a server, and against cold ones left with the part of the
+                # warm ones that end: what replaces most of a table goes with its end.
                 urgent = [row for row in ordinary if row[1] == part] + urgent
                 ordinary = [row for row in ordinary if row[1] != part]
         for k, (level, tries) in enumerate(self.valves_wanted):
@@ -575,61 +600,37 @@
         users: dict[int, list[int]] = defaultdict(list)
         for proxy in self.home:
             users[self.held_part.get(proxy)].append(proxy)  # under None those that hold tables of others
-        joiners = sorted((p for p in self.due_part if p not in self.held_part), key=self.joined_at.get)
-        wait = self._drains_can_wait(Counter(part for key, part, _ in urgent if key <= 0), users, joiners)
-        urgent = [row for row in urgent if row[0] > 0 or row[1] not in users or not wait]
-        free = not (self.unanswered or joiners or self.now > self.drains_since + self.gap)  # or drains waited
+        go, messages, free = [], {}, not self.unanswered
         if self.now >= self.next_urgent and self._send(urgent, users, messages, self.cap, 1.0, go):
             self.next_urgent = self.now + self.gap
-        ordinary = [row for row in ordinary if free or row[1] not in users]
-        self._send(ordinary, users, messages, self.round_lines, ORDINARY_SHARE, go)
-        sizes, waiting = self._sizes(), self._waiting() + sum(messages.values())
-        tables = min(self.cap * ORDINARY_SHARE, self.most_ahead)  # the rest is for drains
-        for proxy in joiners + [p for p in self.due_part if p in self.held_part]:
-            part, held = self.due_part[proxy], self.held_part.get(proxy)
+        rows = [row for row in ordinary if free or row[1] not in users]
+        self._send(rows, users, messages, self.round_lines, ORDINARY_SHARE, go)
+        ours = [0] * len(self.part_zone)
+        for part, line, shut in zip(self.part, self.line, self.shut, strict=True):
+            ours[part] += bool(line) + shut
+        for proxy, part in self.due_part.items():
+            held = self.held_part.get(proxy)
             moves = held is not None and self.weight[held] and proxy not in self.fleeing  # the rest must
             if held == part or (moves and not free):
                 continue
-            share = ORDINARY_SHARE if moves else 1.0
-            most = self.cap * share if held is not None or not waiting else tables
-            if waiting + sizes[part] > most or not self._may_write(proxy, share):
+            size, share = 1 + ours[part] + len(self.objectives) + self.head, ORDINARY_SHARE if moves else 1.0
+            waiting = self._waiting() + sum(messages.values())
+            most = self.cap * (ORDINARY_SHARE if waiting and held is None else share)  # room for drains
+            if waiting + size > most or not self._may_write(proxy, share):
                 continue
             go.append(face.UseTable(0, part, proxy))
             self.held_part[proxy] = part
-            messages[proxy], waiting = messages.get(proxy, 0) + sizes[part], waiting + sizes[part]
+            messages[proxy] = messages.get(proxy, 0) + size
         if messages:
             self.marks = self.marks % MARKS + 1
             go.append(face.Mark(False, self.marks))
             self.levels_under_way |= any(isinstance(order, face.SetLevel) for order in go)
             self.channel.append((self.marks, sum(messages.values()), self.now))
             for proxy in messages:
-                self.unanswered[proxy], self.owes[proxy] = self.marks, messages[proxy]
+                self.unanswered[proxy] = self.marks
                 self.sent_at[proxy].append(self.now)
         self.orders += go
 
-    def _sizes(self) -> list[int]:
-        """Lines of a message that puts a proxy on each part."""
-        sizes = [1 + len(self.objectives) + self.head for _ in self.part_zone]
-        for part, line, shut in zip(self.part, self.line, self.shut, strict=True):
-            sizes[part] += bool(line) + shut
-        return sizes
-
-    def _drains_can_wait(self, drains: Counter, users: dict, joiners: list) -> bool:
-        """Guards against drains that make late who joined before with tables of others: both are due in the
-        grace, each from its own moment. They wait until those have answered, and if all will be in time."""
-        self.drains_since = self.drains_since if drains else self.now
-        told = sum(len(users.get(part, ())) * (self.head + rows) for part, rows in drains.items())
-        ahead, sizes = self._waiting(), self._sizes()
-        late = bool(drains and self.unanswered) and self.now < self.drains_from
-        for proxy in joiners:
-            if self.joined_at[proxy] <= self.drains_since:
-                ahead += sizes[self.due_part[proxy]]
-                room = (self.joined_at[proxy] + self.due_within - self.now) * self.pace
-                late |= ahead <= room < ahead + told
-        self.drains_from = self.now + self.gap if late else self.drains_from
-        room = (self.drains_since + self.due_within - self.now) * self.pace - self.most_ahead / 2
-        return self.now < self.drains_from and ahead + told <= room
-
     def _send(self, rows: list, users: dict, messages: dict, most: float, share: float, go: list) -> bool:
         """Takes the orders that fit, the least key first: so many lines, and this share of the caps."""
         waiting, used, sent, may = self._waiting(), sum(messages.values()), False, {}
@@ -661,5 +662,4 @@
         return not self.message_cap or len(sent) < self.message_cap * share - 1
 
     def _waiting(self) -> float:
-        left = sum(lines for mark, lines in [self.answered] if self.channel and self.channel[0][0] == mark)
-        return sum(lines for _, lines, _ in self.channel) - left
+        return sum(lines for _, lines, _ in self.channel)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,5 @@
 """The five rules: the plain model beside the module on generated days, and one small test a guard."""
 
-from collections import Counter
 from random import Random
 
 import pytest
@@ -515,48 +514,3 @@
     world.run(12, flood, look, step=0.1)
     took = [served.get(proxy, world.now) - joined[proxy] for proxy in joined]
     assert max(took) <= world.facts.drain_grace
-
-
-def test_what_was_answered_of_a_round_waits_no_more_though_others_have_yet_to_answer():
-    """One mark for a flood that joined at once: its room came back only when the last of them had answered."""
-    world = World(40, 30)
-    world.run(5)
-    everyone = list(world.bound)
-    world.news += [face.Left(proxy) for proxy in everyone]
-    world.run(0.25)
-    world.news += [face.Joined(0, False, proxy, 3.0) for proxy in everyone]
-    world.turn()
-    first, ordered = len(world.brain.held_part), world.brain._waiting()
-    assert 0 < first < 30 and len({mark for mark, _, _ in world.brain.channel}) == 1
-    world.run(0.25)  # a third of them is answered by now
-    assert world.brain.unanswered and world.brain._waiting() <= ordered
-    assert len(world.brain.held_part) > first
-    assert world.brain._waiting() >= sum(message[0] for message in world.queue)  # never less than what waits
-
-
-@pytest.mark.parametrize(
-    ("joined", "told", "users", "wait"),
-    [
-        (3.2, 0.1, 20, True),  # 1,440 lines of tables, 240 of drains, and room for 1,600 until the tables are late
-        (3.2, 0.1, 10, False),  # both fit
-        (4.8, 0.1, 20, False),  # the tables are late in any case
-        (3.2, 3.0, 20, False),  # the drains would be
-        (0.1, 0.2, 20, False),  # who joined since comes after them
-    ],
-)
-def test_drains_wait_only_where_who_joined_before_is_late_otherwise_and_they_are_not(joined, told, users, wait):
-    """Both are due within the grace: a proxy from its joining, a drain from when it was told."""
-    world = World(40, 30, "invariants.drainGraceUs=5000000\n")
-    world.run(6)
-    brain, joiners = world.brain, range(30)
-    assert brain._sizes() == [48] and not brain.unanswered
-    brain.joined_at = dict.fromkeys(joiners, brain.now - joined)
-    brain.drains_since = brain.now - told
-    drains = Counter({0: 8})
-    assert brain._drains_can_wait(drains, {0: list(range(users))}, joiners) == wait
-    if wait:
-        brain.now += brain.gap * 0.9
-        brain.unanswered = {0: 1}  # the last of the tables is still on its way
-        assert brain._drains_can_wait(drains, {0: list(range(users))}, [])
-        brain.now += 5
-        assert not brain._drains_can_wait(drains, {0: list(range(users))}, [])
