A list of more nodes than a session takes requests is read to its end, 512 at a time

Cause: RosterFollower._names asked for all nodes at once; ClientSession.ask turns away what is over MOST_WAITING, and _read's answer took that for a lost connection, after which the list counted as read. Now at most 512 are under way, and a list is whole once none is left. Test with 4,596 nodes, also with the connection reset while it reads; not run yet.

--- a/driftshed/roster/follow.py
+++ b/driftshed/roster/follow.py
@@ -27,6 +27,7 @@
 from driftshed.roster.session import State
 
 TOGETHER = 0.02  # seconds: what comes within it is told together
+MOST_READS = 512  # nodes that are read at a time
 
 
 class RosterFollower:
@@ -40,7 +41,8 @@
         self.loop, self.hosts, self.root, self.zones, self.kinds = loop, hosts, root, zones, kinds
         self.membership, self.hear, self.log, self.timeout = membership, hear, log, timeout
         self.random, self.dial = Random(f"roster {seed}"), dial
-        self.names: set[str] = set()  # whose data is known or asked for
+        self.names: set[str] = set()  # whose data is known, asked for, or next to be
+        self.unread: dict[str, None] = {}  # of these, whose turn has not come
         self.reading = 0  # answers that the first list still waits for
         self.version, self.told_whole, self.stopped = 0, False, False
         self.nodes: dict = {}  # read of a list that is not yet whole
@@ -53,6 +55,7 @@
     def _begin(self) -> None:
         """A new session: nothing is watched, and all is read anew."""
         self.names, self.nodes, self.whole_due, self.reading = set(), {}, True, 0
+        self.unread.clear()
         self.client = RosterClient(self.loop, self.hosts, self.timeout, self.random, self._state, self._event,
                                    self.dial)  # fmt: skip
 
@@ -107,13 +110,26 @@
 
     def _gone(self, name: str) -> None:
         self.names.discard(name)
+        self.unread.pop(name, None)
         self.nodes.pop(name, None)
         if not self.whole_due:
             self.membership.vanished(name, self.loop.clock())
             self._soon()
 
     def _read(self, name: str) -> None:
+        """Guards against a list of more nodes than a session takes requests: the rest was turned away, and the list was
+        told as whole without it."""
         self.names.add(name)
+        self.unread[name] = None
+        self._read_on()
+
+    def _read_on(self) -> None:
+        while self.unread and self.reading < MOST_READS:
+            name = next(iter(self.unread))
+            del self.unread[name]
+            self._ask_for(name)
+
+    def _ask_for(self, name: str) -> None:
         self.reading += 1
         self.reads += 1
         client = self.client
@@ -127,7 +143,9 @@
             elif error == OK:
                 self._said(name, result[0])
             else:
-                self.names.discard(name)  # the connection was lost: it is read with the next list
+                self.names -= {name, *self.unread}  # the connection was lost: they are read with the next list
+                self.unread.clear()
+            self._read_on()
             self._whole()
 
         client.ask(GetData(f"{self.root}/{name}", True), got)
@@ -146,7 +164,7 @@
 
     def _whole(self) -> None:
         """A list has been read to its end."""
-        if self.reading or self.client.session.state is not State.ON:
+        if self.reading or self.unread or self.client.session.state is not State.ON:
             return
         if self.whole_due or self.membership.away_since is not None:
             self.whole_due = False
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -60,6 +60,7 @@
 )
 from driftshed.roster.log import Damaged, Log, dump, record
 from driftshed.roster.membership import Announced, Membership
+from driftshed.roster.nodes import write_node
 from driftshed.roster.serve import StoreServer
 from driftshed.roster.session import ClientSession, State
 from driftshed.roster.store import Line, Store
@@ -1174,3 +1175,35 @@
         except Malformed:
             pass
         assert len(session.frames.kept) <= jute.MOST_FRAME + 4
+
+
+# ---- lists longer than a session takes requests -------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("broken", [0, 3], ids=["untroubled", "its connection reset while it reads"])
+def test_a_list_of_more_nodes_than_requests_may_wait_is_told_whole(broken):
+    from driftshed.lab.virtual import Seat
+    from driftshed.roster.session import MOST_WAITING
+    from tests.fleets import STORE
+    from tests.fleets import Fleet as Agents
+
+    agents, count, told = Agents(("a",)), MOST_WAITING + 500, []
+    tree = agents.store.store.tree
+    tree.open(7, 60000, bytes(16))
+    tree.do(7, jute.Create("/driftshed", b""), 0)
+    tree.do(7, jute.Create(ROOT, b""), 0)
+    for k in range(count):
+        name = f"10.1.{k // 250}.{k % 250}:80"
+        data = write_node(Announced(name, "east", "standard", "ready", None, 0, 1.0, 1))
+        assert tree.do(7, jute.Create(f"{ROOT}/{name}~1", data, jute.EPHEMERAL), 0).error == jute.OK
+    agents.network.zones["127.0.9.9"] = "follower"
+    follower = RosterFollower(
+        Seat(agents.loop, "follower"), [STORE], ROOT, ("east",), ("standard",), Membership(4.0, 60.0), told.append,
+        lambda event, **fields: None, 1, 4.0, agents.network.dial("127.0.9.9"),
+    )  # fmt: skip
+    for k in range(broken):
+        agents.until(lambda k=k: follower.reads > 600 * (k + 1), 20)
+        agents.store.break_all()
+    agents.until(lambda: told, 60)
+    assert told[0].whole and len({each.server for each in told[0].servers}) == count
+    assert follower.reading == 0 and not follower.unread
--- a/tests/test_tiers_decisions.py
+++ b/tests/test_tiers_decisions.py
@@ -266,7 +266,8 @@
     file = tmp_path / "tiers.toml"
     if text is not None:
         file.write_text(text)
-    given = ["supervise", "--operation", "look:objective=0.5,timeout=1.5,value=1", "--name", "n1a", "--tiers", str(file), *more]
+    operation = "look:objective=0.5,timeout=1.5,value=1"
+    given = ["supervise", "--operation", operation, "--name", "n1a", "--tiers", str(file), *more]
     result = CliRunner().invoke(main, given)
     assert result.exit_code == 2 and says in " ".join(result.output.replace("\u2502", " ").split())
 
