--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -114,6 +114,9 @@
         "tier_rest_member": _count(SUP, f"in tiers, at rest, a member ({rest})", "bytes/s"),
         "tier_rest_cell": _count(SUP, f"in tiers, at rest, who speaks for a cell ({rest})", "bytes/s"),
         "tier_rest_region": _count(SUP, f"in tiers, at rest, who speaks for a region ({rest})", "bytes/s"),
+        "tier_change_member": _count(SUP, f"in tiers, one change of policy, a member ({rest})"),
+        "tier_change_cell": _count(SUP, f"in tiers, one change of policy, who speaks for a cell ({rest})"),
+        "tier_change_region": _count(SUP, f"in tiers, one change of policy, who speaks for a region ({rest})"),
         **({"tier_watches": _count(SUP, f"in tiers, the most watches of a session ({rest})", "watches")}
            if by == "members" else {}),
         "tier_read_p50": Slope(SUP, f"in tiers, a change until all have read it, p50 ({rest})", "s", "seconds"),
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -20,9 +20,9 @@
 TIERS = "`driftshed/coordination/tiers.py`"
 PARTS_OF_TABLE = "parts of a table (`driftshed/brain.py`)"
 A_MINUTE, A_DAY = 60.0, 86400.0
+AHEAD, PEAK = 0.5, 5  # seconds; the fullest hour's changes to the mean: assumed
 LEASE_PAUSE = 0.2  # seconds: the longest pause between question and act that a lease of 2 s allows
 VOID_MOST = 0.05  # of changes: assumed
-AHEAD, PEAK = 0.5, 5  # seconds; the fullest hour's changes to the mean: assumed
 DESPITES, SESSION = (60.0, 5.0, 3.0), 2.0  # seconds
 OUTAGE = 30.0  # seconds, of OUTAGES
 
@@ -60,7 +60,7 @@
           "missing"),
     Limit("all servers' nodes are read by one session", "refusal:servers", "servers", 4096, "requests", "missing"),
     Limit("a change that needs every word is void in at most 1 of 20", "void", "supervisors", VOID_MOST, "chance",
-          "only by a short `despite_after`, see below"),
+          "`driftshed/policy/change.py`, by a short `despite_after` alone: see below"),
     Limit("each says something of itself once a second", "chatter.chatter_bytes_a_second", "supervisors", NETWORK,
           "bytes/s", TIERS),
     Limit("reading these words", "roll.cores_of_words", "supervisors", CORES, "of a core", TIERS),
@@ -76,6 +76,10 @@
           DESIGN["everywhere_within"], "s", TIERS),
     Limit("in tiers, at rest, who speaks for a region", "tier_members.tier_rest_region", "members", NETWORK, "bytes/s",
           TIERS),
+    Limit("in tiers, changes of an ordinary day, who speaks for a region", "tier_members.tier_change_region", "members",
+          NETWORK, "bytes/s", TIERS, DESIGN["changes_a_day"] / A_DAY),
+    Limit("in tiers, changes of the fullest hour, who speaks for a region", "tier_members.tier_change_region", "members",
+          NETWORK, "bytes/s", "missing", PEAK * DESIGN["changes_a_day"] / A_DAY),
     Limit("the roll of a flat fleet", "roll_memory.roll_memory", "supervisors", MEMORY, "bytes", TIERS),
     Limit("first list of all servers, over a minute", "listing.list_bytes", "servers", NETWORK, "bytes/s",
           "missing", 1 / A_MINUTE),
@@ -251,9 +255,10 @@
 def in_tiers(results: dict) -> str:
     """What a supervisor of a fleet in tiers reads and writes at rest, by the size of each tier."""
     rows = []
-    for key, what in (("tier_rest_member", "a member"), ("tier_rest_cell", "who speaks for a cell"),
-                      ("tier_rest_region", "who speaks for a region"),
-                      ("tier_watches", "the most watches of a session")):  # fmt: skip
+    told = {"member": "a member", "cell": "who speaks for a cell", "region": "who speaks for a region"}
+    figures = [(f"tier_{what}_{who}", f"{name}, {text}") for what, name in (("rest", "at rest"), ("change", "a change"))
+               for who, text in told.items()]  # fmt: skip
+    for key, what in [*figures, ("tier_watches", "the most watches of a session")]:
         cells = []
         for by in ("members", "cells", "regions"):
             row = row_of(results, f"tier_{by}.{key}")
@@ -264,7 +269,7 @@
     for by in ("members", "cells", "regions"):
         row = row_of(results, f"tier_{by}.tier_rest_member")
         head.append("-" if row is None else f"by {by}, {row['sizes'][0]} to {row['sizes'][-1]}")
-    return table(["at rest, time-out 2 s", *head], rows)
+    return table(["time-out 2 s", *head], rows)
 
 
 def checked(results: dict, key: str) -> str:
@@ -315,6 +320,9 @@
             tier = row_of(results, "tier_members.tier_rest_member")
             if a_day is None and size == CELL and tier is not None:
                 value = at(tier, CELL)
+            changed = row_of(results, "tier_members.tier_change_member")
+            if key.startswith("change.") and size == CELL and changed is not None:
+                value = at(changed, CELL)
             if a_day == "words":
                 value *= (size - 1) / 60
             elif a_day is not None:
--- a/benchmarks/capacity_tiers.py
+++ b/benchmarks/capacity_tiers.py
@@ -16,6 +16,7 @@
 from tests.fleets import TIMEOUT, DriftingSeat, MemoryLog
 
 DELAY = 0.02  # seconds, one way
+CHANGES = 5
 
 
 def tiers_file(regions: int, cells: int, members: int) -> str:
@@ -86,6 +87,8 @@
 
 
 def tiered(regions: int, cells: int, members: int, seed: int = 1) -> dict[str, float]:
+    """At rest, and five changes of policy on top of it: what a member, who speaks for a cell and who speaks for a
+    region read and write, beats and polls included."""
     fleet = TieredFleet(regions, cells, members, seed)
     fleet.up()
     fleet.run(5)
@@ -93,10 +96,13 @@
     rest = fleet.grown(seconds)
     watches = [len(held.data) + len(held.children) for store in fleet.stores for held in
                store.store.tree.sessions.values()]  # fmt: skip
-    took: list[float] = []
-    for number in range(1, 6):
+    before, began, took = fleet.bytes(), fleet.loop.now, []
+    for number in range(1, CHANGES + 1):
         took.append(fleet.change(number))
         fleet.run(2.0 + 0.137 * number)
+    fleet.run(25)  # until words are swept
+    span, after = fleet.loop.now - began, fleet.bytes()
+    changed = {name: (after[name] - before[name] - rest[name] / seconds * span) / CHANGES for name in after}
     speakers = {name for name, agent in fleet.agents.items() if agent.for_cell is not None}
     heads = {name for name, agent in fleet.agents.items() if agent.for_region is not None}
     plain = [name for name in fleet.agents if name not in speakers]
@@ -104,6 +110,9 @@
         "tier_rest_member": mean(rest[name] / seconds for name in plain),
         "tier_rest_cell": mean(rest[name] / seconds for name in speakers - heads or speakers),
         "tier_rest_region": mean(rest[name] / seconds for name in heads),
+        "tier_change_member": mean(changed[name] for name in plain),
+        "tier_change_cell": mean(changed[name] for name in speakers - heads or speakers),
+        "tier_change_region": mean(changed[name] for name in heads),
         "tier_watches": max(watches),
         "tier_read_p50": round(median(took), 3), "tier_read_worst": round(max(took), 3),
     }  # fmt: skip
