--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -371,12 +371,19 @@
     return json.loads(text) if text else {"design": DESIGN, "rows": []}
 
 
+def lined(found: dict) -> str:
+    """JSON with each row on a line of its own."""
+    rows = ",\n".join(json.dumps(row) for row in found["rows"])
+    rest = ",\n".join(f"{json.dumps(key)}: {json.dumps(value)}" for key, value in found.items() if key != "rows")
+    return f'{{{rest},\n"rows": [\n{rows}\n]}}\n'
+
+
 def change(make: Callable[[dict], dict]) -> None:
     """Reads the file, makes another of it and writes that, one process at a time."""
     with open(FILE, "a+") as held:
         fcntl.flock(held, fcntl.LOCK_EX)
         found = make(load())
-        FILE.write_text(json.dumps(found, indent=1) + "\n")
+        FILE.write_text(lined(found))
 
 
 def kept(found: dict, name: str, rows: list[dict]) -> dict:
