--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 from pathlib import Path
 from typing import NamedTuple
@@ -16,6 +17,7 @@
 from driftshed.policy.change import waited_out
 
 PAGE = FILE.parent.parent / "docs" / "CAPACITY.md"
+HOLLOW = FILE.with_name("hollow.json")
 MARK = re.compile(r"(<!-- capacity: (?P<name>[a-z ]+) -->\n).*?(<!-- end -->)", re.S)
 TIERS = "`driftshed/coordination/tiers.py`"
 PARTS_OF_TABLE = "parts of a table (`driftshed/brain.py`)"
@@ -383,6 +385,36 @@
     return text
 
 
+def sockets(results: dict) -> str:
+    """Hollow supervisors in many processes: the newest row of each kind and size (`benchmarks/hollow.py`)."""
+    newest = {(row["kind"], row["size"]): row for row in results.get("hollow", [])}
+    if not newest:
+        return "Not run yet: `benchmarks/hollow.json` is not there.\n"
+    rows = []
+    for (kind, size), row in sorted(newest.items()):
+        joining, rest, changes = row.get("joining") or {}, row.get("rest") or {}, row.get("summary") or {}
+        of_all, core = rest.get("all") or {}, (rest.get("processes") or {}).get("core_share_each_supervisor")
+        first = [each for each in row.get("first_change") or [] if each.get("settled")]
+        after = changes.get("worst_s") or {}
+        rows.append([
+            f"{kind}, {size:,}, time-out {row['timeout']:g} s",
+            f"{_pick(joining.get('ready_after_s'), 'worst')} s", short(_pick(joining.get("bytes_of_all_joining"), "p50",
+                                                                             None), "bytes"),
+            f"{short(_pick(of_all.get('bytes_a_second'), 'p50', None), 'bytes/s')}, "
+            f"{short(_pick(of_all.get('bytes_a_second'), 'worst', None), 'bytes/s')}",
+            "-" if core is None else f"{core:.2%}" if isinstance(core, float) else str(core),
+            f"{changes.get('settled', len(first))} of {changes.get('changes', len(row.get('first_change') or []))}",
+            "-" if not after else f"{_pick(after, 'p50')}, {_pick(after, 'worst')}",
+            row.get("partial", "") or "-",
+        ])  # fmt: skip
+    return table(["supervisors", "all ready, worst", "joining, each", "at rest, p50, worst", "of a core, each",
+                  "changes settled", "until everywhere: p50, worst of them", "partial"], rows)  # fmt: skip
+
+
+def _pick(found: dict | None, name: str, otherwise: object = "-") -> object:
+    return (found or {}).get(name, otherwise)
+
+
 class Ensemble(NamedTuple):
     name: str
     count: int  # of such ensembles
@@ -451,7 +483,7 @@
 
 BLOCKS = {
     "missing first": missing_first, "refusals": single, "cells": cells, "in tiers": in_tiers,
-    "voids": voids, "day": day, "bursts": bursts, "phases": phases, "machines": machines,
+    "voids": voids, "day": day, "bursts": bursts, "sockets": sockets, "phases": phases, "machines": machines,
     **{role: (lambda results, role=role: role_table(results, role))
        for role in ("supervisor", "store", "proxy", "command line")},
 }  # fmt: skip
@@ -462,5 +494,11 @@
     return MARK.sub(lambda found: found[1] + BLOCKS[found["name"]](results) + found[3], page)
 
 
+def results() -> dict:
+    """All that the page is made of."""
+    rows = json.loads(HOLLOW.read_text())["rows"] if HOLLOW.exists() else []
+    return load_file() | {"hollow": rows}
+
+
 def write(path: Path = PAGE) -> None:
-    path.write_text(filled(path.read_text(), load_file()))
+    path.write_text(filled(path.read_text(), results()))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,7 +1,6 @@
 """The fit tells growth apart, the exact counts come out again, and the page says what the file of results says."""
 
 import copy
-import json
 import math
 import re
 from pathlib import Path
@@ -13,7 +12,7 @@
 from benchmarks.capacity_fit import FORMS, TooFew, first_above, fit, held_out_error, value_at
 
 ROOT = Path(__file__).parent.parent
-RESULTS = json.loads(capacity.FILE.read_text())
+RESULTS = capacity_page.results()
 SIZES = [8, 16, 32, 64, 128, 256]
 MADE = {
     "constant": lambda n: 314.0,
