--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -491,7 +491,8 @@
 
 BLOCKS = {
     "missing first": missing_first, "refusals": single, "cells": cells, "in tiers": in_tiers,
-    "voids": voids, "day": day, "bursts": bursts, "sockets": sockets, "not run": not_run, "phases": phases, "machines": machines,
+    "voids": voids, "day": day, "bursts": bursts, "sockets": sockets, "phases": phases, "machines": machines,
+    "not run": not_run,
     **{role: (lambda results, role=role: role_table(results, role))
        for role in ("supervisor", "store", "proxy", "command line")},
 }  # fmt: skip
