--- a/tests/test_tiers_processes.py
+++ b/tests/test_tiers_processes.py
@@ -30,7 +30,7 @@
 
 
 def test_a_drawn_day_in_tiers_keeps_all_rules_and_each_guard_taken_out_is_seen():
-    with ThreadPoolExecutor(2) as pool:
+    with ThreadPoolExecutor(3) as pool:
         kept, *tampered = pool.map(played, (None, *TAMPERS))
     assert kept["code"] == 0 and not kept["breaks"], kept
     assert all(row["checked"] and not row["broken"] for row in kept["rules"].values()), kept["rules"]
