--- a/driftshed/coordination/agent.py
+++ b/driftshed/coordination/agent.py
@@ -409,7 +409,8 @@
             words = needs, quorum, patience, binds_for, waits
             return agreement.proposed(old, topic, epoch, self.name, token, body, *words)
 
-        agreement.write(make(None, 1))  # Barred where it is too large
+        # Guards against one that opens and can never be settled: what was settled is held beside what was proposed.
+        agreement.write(agreement.settled(make(None, 1)))  # Barred where it is too large
         proposal = Proposal(token, make, done)
         if topic not in self.topics and len(self.topics) >= agreement.MOST_RECORDS:
             raise Barred(f"{len(self.topics)} topics are there: end some first")
--- a/driftshed/policy/part.py
+++ b/driftshed/policy/part.py
@@ -347,7 +347,10 @@
         # Guards against one that is named to be gone, was only stopped, and wakes: it finds that its start is over.
         for name in asked.despite:
             self.agent.fence_out(name)
-        self._propose(change, asked.patience)
+        try:
+            self._propose(change, asked.patience)
+        except agreement.Barred as error:
+            raise Refused(400, str(error)) from None
         was = None if standing is None else policies.parse(standing.text)
         return {"version": change.version, "digest": change.digest, "token": self.mine.token,
                 "difference": policies.difference(was, document)}  # fmt: skip
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -384,3 +384,13 @@
         roll.appeared(f"s{k}~1", Member(f"s{k}", incarnation=1), k, float(k))
         roll.vanished(f"s{k}~1", float(k))
     assert len(roll.rows(500.0)) == MOST_STRANGERS + 1 and len(roll.highest) == MOST_STRANGERS
+
+
+def test_what_could_be_opened_and_never_be_settled_is_refused_when_it_is_proposed():
+    fleet = Fleet()
+    fleet.up()
+    with pytest.raises(Barred, match="bytes, 65536 at the most: put less into it"):
+        fleet.propose("a", "large", "x" * 33_000)
+    proposal = fleet.propose("a", "large", "x" * 32_000)
+    fleet.until(lambda: proposal.state == "settled")
+    assert fleet.stored("large").standing.body == "x" * 32_000
