--- a/driftshed/day/accord.py
+++ b/driftshed/day/accord.py
@@ -98,8 +98,9 @@
             standing = record.standing
             if standing is not None and getattr(record, "copied", None) is True:
                 # A copy also tells of an end above that came while nobody here listened; above it is held to that.
-                if tokens.setdefault(standing.epoch, standing.token) != standing.token:
-                    self.broken("epochs", f"epoch {standing.epoch} is both {tokens[standing.epoch]} and {standing.token}")
+                token = tokens.setdefault(standing.epoch, standing.token)
+                if token != standing.token:
+                    self.broken("epochs", f"epoch {standing.epoch} is both {token} and {standing.token}")
                 ends[standing.epoch].add("settled")
         for epoch, states in ends.items():
             if len(states) > 1:
