--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -469,8 +469,8 @@
     lines.append(f"- {found['names']} names in a record: refused (`coordination/agreement.py`).\n")
     lines.append(f"- {found['operations']} operations in a policy, or at a supervisor: refused.\n")
     lines.append(f"- A policy's text of {found['text_refused_open']:,} bytes: its record is refused. From "
-                 f"{found['text_refused_settled']:,} bytes on (64 names) it is opened, and the agent that would settle "
-                 "it raises: a settled record holds it twice. A policy may have 32,768.\n")  # fmt: skip
+                 f"{found['text_refused_settled']:,} bytes on (64 names) it is refused when it is proposed: a settled "
+                 "record holds it twice. A policy may have 32,768.\n")  # fmt: skip
     lines.append(f"- One that joins {crowd['size']:,} reads {crowd['knows']:,} names, 4,096 at a time (`roster/"
                  f"session.py`), and {'holds' if crowd['holds'] else 'never holds'} a lease.\n")  # fmt: skip
     first, least = found["servers"]["first"], min(found["servers"]["runs"], key=lambda run: run["size"])
