--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -16,7 +16,8 @@
 
 OUTAGE_AT_S, OUTAGE_S = 10.0, 6.0  # FLEET.md, split+mass: "for 6 s a zone is partitioned"
 NOTICE_S, REDIAL_S = (0.31, 1.9), (0.33, 2.4)  # notice_ms and redial_s of the site file
-DEPLOY_AT_S, STEP_S, STEPS = 28.0, 4.5, 7  # 7 of 8 servers (part: at most 0.99) in 31.5 s (len_s: 21 to 39), one at a time
+# One at a time 7 of 8 servers (part: at most 0.99) in 31.5 s (len_s: 21 to 39).
+DEPLOY_AT_S, STEP_S, STEPS = 28.0, 4.5, 7
 
 
 async def lose_relay(world: World) -> None:
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import json
+import logging
 import os
 import random
 import signal
@@ -19,10 +20,22 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
+logging.getLogger("asyncio").setLevel(logging.ERROR)  # it warns of each write to a connection that has ended
 PING_INTERVAL_S = 1.0  # PROTOCOL.md: "Every second a sign of life arrives"
 EMPTY_LINE_INTERVAL_S = 2.0  # PROTOCOL.md: "an empty line arrives every 2 s"
 
 
+def free_port() -> int:
+    """A free port below those that outgoing connections take, so that it is free again after a restart too."""
+    while True:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", random.SystemRandom().randrange(15000, 32000)))
+            except OSError:
+                continue
+            return probe.getsockname()[1]
+
+
 def deploy_command(key: str) -> str:
     """The command of a key of deploy/balancer.toml."""
     import tomllib
@@ -223,14 +236,19 @@
 
     def change(self, entry: dict) -> None:
         """A change of the list: told to all watches."""
+        self.change_all([entry])
+
+    def change_all(self, entries: list[dict]) -> None:
+        """Changes of the list in one version: told to all watches."""
         self.version += 1
-        self.history.append((self.version, entry))
-        if entry["state"] == "removed":
-            self.entries.pop(entry["id"], None)
-        else:
-            self.entries[entry["id"]] = entry
+        for entry in entries:
+            self.history.append((self.version, entry))
+            if entry["state"] == "removed":
+                self.entries.pop(entry["id"], None)
+            else:
+                self.entries[entry["id"]] = entry
         for writer in list(self.watches):
-            self._write(writer, self.document(False, [entry]))
+            self._write(writer, self.document(False, entries))
 
     def _write(self, writer: asyncio.StreamWriter, document: dict | None) -> None:
         line = b"\n" if document is None else json.dumps(document).encode() + b"\n"
@@ -296,8 +314,8 @@
         self.on_call = None  # fault for a call: None, "lost" (not carried out) or "unanswered" (carried out)
 
     async def start(self) -> None:
+        self.port = self.port or free_port()
         self.listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=1 << 22)
-        self.port = self.listener.sockets[0].getsockname()[1]
 
     def go_away(self) -> None:
         """Nobody reaches the relay: open connections are silent, new ones do not come up."""
@@ -410,7 +428,8 @@
                 table = self.groups[group]
                 proxy.group = group
                 out = {name for name in self.shut_out if name in table.lines}
-                concern(proxy, 1 + len(table.lines) + len(table.gates) + len(out), "table", dict(table.lines), set(self.shut_out))
+                cost = 1 + len(table.lines) + len(table.gates) + len(out)
+                concern(proxy, cost, "table", dict(table.lines), set(self.shut_out))
             elif do in ("eject", "uneject"):
                 (self.shut_out.add if do == "eject" else self.shut_out.discard)(op["target"])
                 for proxy in joined:
@@ -469,7 +488,8 @@
         self.last_arrival = 0.0
         self.outstanding: collections.Counter[str] = collections.Counter()
         self.message_times: list[float] = []
-        self.joined_sends: list[tuple[float, str, float]] = []  # while joined: time, server, time of joining
+        # While joined: time, server, time of joining, the world of the supervisor.
+        self.joined_sends: list[tuple[float, str, float, World]] = []
         self.met: dict[str, list] = {}  # for the reports: tries, failures, total seconds of the others
         self.arrived: collections.Counter[str] = collections.Counter()
 
@@ -499,6 +519,9 @@
                     self.lines.pop(fields[0], None)
             elif what == "table":
                 self.lines, self.ordered = dict(fields[0]), True
+                waited = self.world.record.now() - self.joined_at
+                size = len(fields[0])
+                self.world.record.line(f"proxy {self.number} gets a table of {size} lines, {waited:.2f} s joined")
                 self.out = set(fields[1]) if fields[1] is not None else self.out
             elif what == "eject":
                 self.out.add(fields[0])
@@ -532,7 +555,7 @@
                 return
             tried.append(server)
             if self.joined:
-                self.joined_sends.append((record.now(), server, self.joined_at))
+                self.joined_sends.append((record.now(), server, self.joined_at, self.world))
             record.line(f"proxy {self.number} sends {name} to {server}")
             self.outstanding[server] += 1
             at = time.monotonic()
@@ -619,9 +642,7 @@
     async def start(self, temporary: str) -> None:
         """Starts servers, discovery and relay, then the supervisor by the deploy file's `run`."""
         self.temporary = temporary
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.port = probe.getsockname()[1]
+        self.port = free_port()
         for server in self.servers:
             await server.start()
             self.ports[server.name] = server.port
@@ -650,7 +671,8 @@
             "TMPDIR": self.temporary,
         }
         log = open(Path(self.temporary) / "supervisor.log", "ab")
-        self.supervisor = subprocess.Popen(["/bin/sh", "-c", deploy_command("run")], cwd=ROOT, env=environment, stdout=log, stderr=log)
+        command = ["/bin/sh", "-c", deploy_command("run")]
+        self.supervisor = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log, stderr=log)
         self.record.line(f"supervisor started: {deploy_command('run')}")
 
     async def until_ready(self) -> None:
@@ -670,38 +692,44 @@
         raise RuntimeError("the supervisor does not answer")
 
     async def _collector(self, zone: str) -> None:
-        """Passes on, every 0.5 s and 0.9 s late, what the joined proxies of a zone met."""
+        """Passes on, every 0.5 s and 0.9 s late, what the joined proxies of a zone met: its part of `hearsPerS` lines
+        at most, the oldest first; the rest adds up."""
         _, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(resp("SOURCE", "site", zone))
-        while True:
-            await asyncio.sleep(0.5)
-            rows: dict[str, list] = {}
-            texts = []
+        period, domain = self.settings["domain"]["cycleUs"] / 1e6, self.settings["domain"]
+        most = int(domain["hearsPerS"] * period / len(self.settings["zones"]))
+        # By server, or by proxy and operation: since when, tries or requests, failures, seconds of the good tries.
+        sums: dict[tuple, list] = {}
+        while not writer.is_closing():
+            since = self.record.now()
+            await asyncio.sleep(period)
             for proxy in self.proxies:
                 if proxy.zone != zone or not proxy.joined:
                     continue
                 met, proxy.met = proxy.met, {}
                 arrived, proxy.arrived = proxy.arrived, collections.Counter()
-                for server, row in met.items():
-                    total = rows.setdefault(server, [0, 0, 0.0])
-                    for index in range(3):
-                        total[index] += row[index]
+                for server, (tries, failed, seconds) in met.items():
+                    row = sums.setdefault((server,), [since, 0, 0, 0.0])
+                    row[1:] = [row[1] + tries, row[2] + failed, row[3] + seconds]
                 for operation, count in arrived.items():
-                    fields = ("id", str(proxy.number), "lane", operation, "count", str(count), "fail", "0", "over", "500.0")
-                    texts.append(resp("RATE", *fields))
-            for server, (tries, failed, seconds) in rows.items():
-                mean = 1e3 * seconds / (tries - failed) if tries > failed else 0.0
-                load = next((each.inflight for each in self.servers if each.name == server), 0)
-                fields = ("site", zone, "target", server, "count", str(tries), "fail", str(failed))
-                texts.append(resp("LOAD", *fields, "mean", f"{mean:.1f}", "over", "500.0", "util", f"inflight:{load}"))
+                    sums.setdefault((proxy.number, operation), [since, 0, 0, 0.0])[1] += count
+            texts = [self._report(zone, key, sums.pop(key)) for key in list(sums)[:most]]
             self.task(self._write_later(writer, b"".join(texts), 0.9))
 
+    def _report(self, zone: str, key: tuple, row: list) -> bytes:
+        since, count, failed, seconds = row
+        over = ("over", f"{1e3 * (self.record.now() - since):.1f}")
+        if len(key) == 2:
+            return resp("RATE", "id", str(key[0]), "lane", key[1], "count", str(count), "fail", "0", *over)
+        mean = 1e3 * seconds / (count - failed) if count > failed else 0.0
+        load = next((each.inflight for each in self.servers if each.name == key[0]), 0)
+        fields = ("site", zone, "target", key[0], "count", str(count), "fail", str(failed), "mean", f"{mean:.1f}")
+        return resp("LOAD", *fields, *over, "util", f"inflight:{load}")
+
     async def _write_later(self, writer: asyncio.StreamWriter, data: bytes, delay: float) -> None:
         await asyncio.sleep(delay)
-        try:
+        if not writer.is_closing():
             writer.write(data)
-        except OSError:
-            pass
 
     async def clients(self, proxy: Proxy, rate: float) -> None:
         """Open-loop requests through a proxy: 79 in 100 look up, the others split a purchase."""
@@ -747,6 +775,7 @@
     def stop(self) -> None:
         """Ends the supervisor and all servers."""
         self.clients_run = False
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)  # of tasks that are cancelled
         if self.supervisor is not None and self.supervisor.poll() is None:
             self.supervisor.send_signal(signal.SIGTERM)
             try:
@@ -776,7 +805,7 @@
     for proxy in world.proxies:
         late = [
             (at, server)
-            for at, server, joined_at in proxy.joined_sends
+            for at, server, joined_at, _ in proxy.joined_sends
             if server in world.discovery.told and at > max(world.discovery.told[server], joined_at) + grace
         ]
         if late:
