Notifications of proxies get a module of their own

node/relay.py held two state machines, the calls to the relay and the merged notifications of proxies.

--- a/driftshed/node/relay.py
+++ b/driftshed/node/relay.py
@@ -1,4 +1,4 @@
-"""State machines for calls to the relay and for its notifications, without I/O."""
+"""Calls to the relay and the load of its channel, as state machines without I/O."""
 
 from __future__ import annotations
 
@@ -8,16 +8,14 @@
 import msgspec
 
 from driftshed import interface as face
-from driftshed.node.codec import APPLY_RESULT_DECODER, MESSAGE_DECODER, InvalidMessage, PlatformCodec, encode_call
+from driftshed.node.codec import APPLY_RESULT_DECODER, MESSAGE_DECODER, encode_call
 from driftshed.node.jsonlines import LineReader, LineTooLong
 
 MAX_OPS_BYTES = 60_000 - 200  # of the operations of one call; the rest of the message has 200 bytes
 ANSWER_TIMEOUT_S = 0.05  # guaranteed by the platform: later there is no answer
 ANSWER_SLACK_S = 0.05  # time for which an answer may wait until this process reads it
 THROTTLED_RETRY_S = 0.05  # wait before a throttled call is repeated
-NOTIFICATION_TIMEOUT_S = 1.8  # the relay sends a ping every second
 LATENCY_DECAY = 0.98  # retention factor of the longest observed latency, per answer
-MAX_LAG_S = NOTIFICATION_TIMEOUT_S  # of one connection behind another; one that lags more counts as unresponsive
 
 
 class ProtocolError(Exception):
@@ -224,149 +222,3 @@
             return False
         self.add(now, lines, waiting)
         return True
-
-
-class JoinState:
-    """The joined proxies, merged from all connections with notifications.
-
-    A proxy's stream begins and ends in turns, so the number of its transitions identifies each of them: a transition
-    that another connection has already reported is ignored."""
-
-    def __init__(self) -> None:
-        """No proxy is joined."""
-        self.joined: dict[int, face.Joined] = {}
-        self.transitions: dict[int, int] = {}  # of each proxy: joins and departures so far; odd while it is joined
-        self.transition_at: dict[int, float] = {}  # when the last of them was received
-        self.last_mark: dict[int, int] = {}  # the last mark that each proxy answered
-
-    def apply(self, event: object, position: int, now: float) -> list:
-        """Applies the `position`-th transition of a proxy, a Joined or Left event. Returns the events that are new."""
-        proxy = event.proxy
-        if position <= self.transitions.get(proxy, 0):
-            return []
-        self.transitions[proxy], self.transition_at[proxy] = position, now
-        self.last_mark.pop(proxy, None)
-        if position % 2:
-            self.joined[proxy] = event
-        else:
-            self.joined.pop(proxy, None)
-        return [event]
-
-    def apply_answer(self, applied: face.Applied) -> list:
-        """Returns the answer to a mark if the proxy is joined and no connection has reported it, else nothing."""
-        if applied.proxy not in self.joined or self.last_mark.get(applied.proxy) == applied.mark:
-            return []
-        self.last_mark[applied.proxy] = applied.mark
-        return [applied]
-
-
-class NotificationReader:
-    """Reader of one connection with notifications of proxies: first the joined ones, then each change.
-
-    The initial read is complete with a ping or with the first event that is not the join of a further proxy."""
-
-    def __init__(self, codec: PlatformCodec, join_state: JoinState) -> None:
-        """`join_state` is shared by all connections."""
-        self.codec, self.join_state = codec, join_state
-        self.line_reader = LineReader(1 << 16)
-        # Joined proxies reported so far by the initial read; None outside of it.
-        self.initial_proxies: set[int] | None = None
-        self.synced = False  # the initial read is complete
-        self.received_at = float("-inf")  # when the last complete line was received
-        self.position: dict[int, int] = {}  # of each proxy: the last transition that this connection has reported
-        self.joined: dict[int, face.Joined] = {}  # according to this connection
-
-    def request(self) -> bytes:
-        """The bytes to send when the connection is established."""
-        return encode_call(1, "relay.watch")
-
-    def feed(self, data: bytes, now: float) -> list:
-        """The events for the module in the received bytes. Raises ProtocolError if the connection must be given up;
-        the events before the error are in its `args[1]`."""
-        events: list = []
-        try:
-            for text in self.line_reader.feed(data):
-                if text:
-                    events += self._handle_line(text, now)
-                    self.received_at = now
-        except (ProtocolError, LineTooLong) as error:
-            raise ProtocolError(str(error), events) from None
-        return events
-
-    def _handle_line(self, text: bytes, now: float) -> list:
-        try:
-            line = MESSAGE_DECODER.decode(text)
-            event = self.codec.decode_notification(line.method, line.params)
-        except (msgspec.DecodeError, InvalidMessage) as error:
-            raise ProtocolError(f"malformed notification: {error}: {text[:200]!r}") from None
-        if not line.method:
-            if line.id != 1 or bytes(line.result) != b"true":
-                raise ProtocolError("the watch was refused")
-            self.initial_proxies = set()
-            return []
-        if (
-            isinstance(event, face.Joined)
-            and self.initial_proxies is not None
-            and event.proxy not in self.initial_proxies
-        ):
-            self.initial_proxies.add(event.proxy)
-            self.joined[event.proxy] = event
-            return self._handle_initial(event, now)
-        events = self._finish_initial(now) if event is not None or line.method == "ping" else []
-        if isinstance(event, face.Applied):
-            return events + self.join_state.apply_answer(event)
-        if event is None:
-            return events
-        if (event.proxy in self.joined) == isinstance(event, face.Joined):
-            raise ProtocolError("a proxy that joined or left twice in a row")
-        if isinstance(event, face.Joined):
-            self.joined[event.proxy] = event
-        else:
-            del self.joined[event.proxy]
-        self.position[event.proxy] = self._position_of(event.proxy, now) + 1
-        return events + self.join_state.apply(event, self.position[event.proxy], now)
-
-    def _handle_initial(self, event: face.Joined, now: float) -> list:
-        """Handles a proxy that was joined before the connection was established."""
-        count, gone = self.join_state.transitions.get(event.proxy, 0), []
-        if event.fresh and event.proxy in self.join_state.last_mark:
-            # Guards against a proxy that left and rejoined while no connection was up: it reports that it holds no
-            # ordered table, although a mark of its table was answered.
-            gone = self.join_state.apply(face.Left(event.proxy), count + 1, now)
-            count += 1
-        self.position[event.proxy] = count | 1
-        return gone + self.join_state.apply(event, count | 1, now)
-
-    def _finish_initial(self, now: float) -> list:
-        """Completes the initial read: proxies known as joined that were not in it have left meanwhile."""
-        if self.initial_proxies is None:
-            return []
-        initial_proxies, self.initial_proxies, self.synced = self.initial_proxies, None, True
-        events = []
-        for proxy, position in list(self.join_state.transitions.items()):
-            if proxy not in initial_proxies:
-                self.position[proxy] = position + position % 2
-                events += self.join_state.apply(face.Left(proxy), self.position[proxy], now)
-        return events
-
-    def _position_of(self, proxy: int, now: float) -> int:
-        """The last transition of a proxy that this connection has reported.
-
-        Guards against a position that is too low, since the initial read can precede transitions that led to it and
-        that another connection reports later. This connection never reports those; after the maximum lag its position
-        is corrected to the latest transition that agrees with its own state of the proxy."""
-        position, count = self.position.get(proxy, 0), self.join_state.transitions.get(proxy, 0)
-        if position < count and now - self.join_state.transition_at[proxy] > MAX_LAG_S:
-            position = count - (count - position) % 2
-        return position
-
-    def reconcile(self) -> list:
-        """Corrects proxies whose state on this connection still differs after the maximum lag: this connection's state
-        is adopted, since it has received other lines since then. Returns the events."""
-        events = []
-        for proxy, count in list(self.join_state.transitions.items()) if self.synced else ():
-            position = self.position[proxy] = self._position_of(proxy, self.received_at)
-            if position < count and self.received_at - self.join_state.transition_at[proxy] > MAX_LAG_S:
-                self.position[proxy] = count + 1
-                events += self.join_state.apply(self.joined.get(proxy, face.Left(proxy)), count + 1, self.received_at)
-        return events
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -19,14 +19,8 @@
 from driftshed.node.config import SupervisorOptions
 from driftshed.node.discovery import SILENCE_TIMEOUT_S, Roster, Watch, WatchFailed
 from driftshed.node.link import Link
-from driftshed.node.relay import (
-    NOTIFICATION_TIMEOUT_S,
-    Channel,
-    JoinState,
-    NotificationReader,
-    OrderQueue,
-    ProtocolError,
-)
+from driftshed.node.notifications import NOTIFICATION_TIMEOUT_S, JoinState, NotificationReader
+from driftshed.node.relay import Channel, OrderQueue, ProtocolError
 
 JOIN_TIMEOUT_S = 1.2  # from connecting until a collector must have joined
 UNJOINED_SHARE = 1 / 2  # share of the descriptors for peers that have not joined
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -6,7 +6,8 @@
 import pytest
 
 from driftshed import interface as face
-from driftshed.node.relay import MAX_LAG_S, NOTIFICATION_TIMEOUT_S, JoinState, NotificationReader, ProtocolError
+from driftshed.node.notifications import MAX_LAG_S, NOTIFICATION_TIMEOUT_S, JoinState, NotificationReader
+from driftshed.node.relay import ProtocolError
 from tests.platforms import CODEC
 
 PROXIES = 3
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,12 +20,11 @@
 from driftshed.node.collectors import NACK, PONG, Peer
 from driftshed.node.discovery import Roster, Watch, WatchFailed
 from driftshed.node.jsonlines import LineReader, LineTooLong
+from driftshed.node.notifications import JoinState, NotificationReader
 from driftshed.node.relay import (
     ANSWER_SLACK_S,
     ANSWER_TIMEOUT_S,
     THROTTLED_RETRY_S,
-    JoinState,
-    NotificationReader,
     OrderQueue,
     ProtocolError,
 )
