Bind proxies anew that may have rejoined while no notifications came

Cause: a connection numbers the proxies that it lists by the transitions already counted. After a gap in which no connection was open that number hides a departure and a join: the module took the proxies for bound.

Change: `Coverage` tracks whether some connection was open at each moment, to its last line. After a gap the join of each proxy joined before it is reported once more when a connection lists it; the module then sends it its table anew and goes on counting its messages and lines. The log of each second shows `doubted`.

Why it works: whether the proxy left or stayed, it is bound afterwards, and what was sent to it before still counts against the caps.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -173,6 +173,7 @@
         self.joined_at = {}
         self.target_part = {}  # the part that the proxy should hold
         self.held_part = {}  # the part that the proxy holds
+        self.unconfirmed = {}  # proxies that may have rejoined unseen, so that their binding may be lost
         self.unanswered = {}  # the mark that the proxy has yet to answer
         self.channel = deque()  # messages under way: mark, lines, time
         self.last_mark = 0
@@ -339,8 +340,12 @@
     # ---- proxies and their answers ----
 
     def _handle_joined(self, joined: face.Joined) -> None:
-        """Adds a proxy and forgets an earlier stay of it; its rate is split by the present mix of operations."""
-        self._handle_left(joined)
+        """Adds a proxy; its rate is split by the present mix of operations."""
+        if joined.proxy in self.proxy_zone:
+            # Guards against a binding that was lost with a stream that ended unseen: the proxy gets its table again.
+            # Until then it counts as bound, since it may be.
+            self.unconfirmed[joined.proxy] = True
+            return
         self.message_times[joined.proxy] = deque()
         self.proxy_zone[joined.proxy] = joined.zone
         self.joined_at[joined.proxy] = self.now
@@ -348,7 +353,7 @@
         self.rate[joined.proxy] = sum(self.demand[joined.proxy])
 
     def _handle_left(self, left: face.Left) -> None:
-        by_proxy = self.target_part, self.held_part, self.unanswered
+        by_proxy = self.target_part, self.held_part, self.unanswered, self.unconfirmed
         for mapping in (self.message_times, self.joined_at, self.proxy_zone, self.demand, self.rate, *by_proxy):
             mapping.pop(left.proxy, None)
         if not self.unanswered:
@@ -813,7 +818,7 @@
         for part, line, withdrawn in zip(self.part, self.line_weight, self.withdrawn, strict=True):
             part_lines[part] += bool(line) + withdrawn
         for proxy, part in self.target_part.items():
-            held = self.held_part.get(proxy)
+            held = None if proxy in self.unconfirmed else self.held_part.get(proxy)
             # Any other change of part is mandatory.
             is_move = held is not None and self.part_weight[held] and proxy not in self.displaced
             if held == part or (is_move and not round_answered):
@@ -830,6 +835,7 @@
                 continue
             selected.append(face.UseTable(0, part, proxy))
             self.held_part[proxy] = part
+            self.unconfirmed.pop(proxy, None)
             messages[proxy] = messages.get(proxy, 0) + size
         if messages:
             self.last_mark = self.last_mark % MAX_MARK + 1
--- a/driftshed/interface.py
+++ b/driftshed/interface.py
@@ -131,7 +131,7 @@
 
 
 class Joined(NamedTuple):
-    """A proxy has joined this supervisor."""
+    """A proxy has joined this supervisor; or, if it is joined already, it may have left and joined again unseen."""
 
     zone: int
     fresh: bool  # holds only its standing table, none of another supervisor
--- a/driftshed/node/notifications.py
+++ b/driftshed/node/notifications.py
@@ -13,14 +13,52 @@
 MAX_LAG_S = NOTIFICATION_TIMEOUT_S  # of one connection behind another; one that lags more counts as unresponsive
 
 
+class Coverage:
+    """Since when the changes of the joined proxies are known without a gap: at each moment some connection was open.
+
+    A connection covers the time from the start of its watch to its last line, since one that breaks may have been
+    silent before. It continues the coverage once a connection that does so too has delivered a line after its start."""
+
+    def __init__(self) -> None:
+        """No connection is open."""
+        self.until = float("-inf")  # time of the last line on a connection that continues the coverage
+        # Open connections, the longest open first, and whether each continues the coverage.
+        self.readers: dict[NotificationReader, bool] = {}
+
+    def begin(self, reader: NotificationReader) -> bool:
+        """Adds a connection whose watch begins now. Returns whether none was open, so that there is a gap before."""
+        gap = not self.readers
+        self.readers[reader] = gap
+        return gap
+
+    def extend(self, reader: NotificationReader, now: float) -> None:
+        """Records a line on an open connection."""
+        if self.readers.get(reader):
+            self.until = now
+            self.readers = dict.fromkeys(self.readers, True)
+
+    def end(self, reader: NotificationReader) -> bool:
+        """Removes a connection. Returns whether none of the others continues the coverage, so that there is a gap
+        between `until` and the start of the longest open one, which begins the coverage anew."""
+        self.readers.pop(reader, None)
+        gap = bool(self.readers) and not any(self.readers.values())
+        if gap:
+            self.readers[next(iter(self.readers))] = True
+        return gap
+
+
 class JoinState:
     """The joined proxies, merged from all connections with notifications.
 
     A proxy's stream begins and ends in turns, so the number of its transitions identifies each of them: a transition
-    that another connection has already reported is ignored."""
+    that another connection has already reported is ignored. After a gap in the notifications the number no longer tells
+    whether a proxy that is joined has left and joined again meanwhile: its join is then reported once more."""
 
     def __init__(self) -> None:
         """No proxy is joined."""
+        self.coverage = Coverage()
+        self.in_doubt: set[int] = set()  # joined before a gap, and not yet reported by a connection after it
+        self.doubted = 0  # joins reported once more, in total
         self.joined: dict[int, face.Joined] = {}
         self.transitions: dict[int, int] = {}  # of each proxy: joins and departures so far; odd while it is joined
         self.transition_at: dict[int, float] = {}  # when the last of them was received
@@ -33,12 +71,42 @@
             return []
         self.transitions[proxy], self.transition_at[proxy] = position, now
         self.last_mark.pop(proxy, None)
+        self.in_doubt.discard(proxy)
         if position % 2:
             self.joined[proxy] = event
         else:
             self.joined.pop(proxy, None)
         return [event]
 
+    def reader_began(self, reader: NotificationReader) -> None:
+        """Records that the watch of a connection begins."""
+        if self.coverage.begin(reader):
+            self.in_doubt = set(self.joined)
+
+    def reader_ended(self, reader: NotificationReader, now: float, by_choice: bool) -> list:
+        """Records the end of a connection. `by_choice`: it was closed here, so unless it was silent it covers the time
+        up to `now`. Returns the joins that are reported once more."""
+        if by_choice and now - reader.received_at <= NOTIFICATION_TIMEOUT_S:
+            self.coverage.extend(reader, now)
+        if not self.coverage.end(reader):
+            return []
+        self.in_doubt |= {proxy for proxy in self.joined if self.transition_at[proxy] <= self.coverage.until}
+        return [
+            event
+            for other in self.coverage.readers
+            for joined in list(other.joined.values())
+            for event in self.resolve_doubt(joined)
+        ]
+
+    def resolve_doubt(self, joined: face.Joined) -> list:
+        """Returns the join of a proxy in doubt, which a connection reports as joined after the gap, else nothing."""
+        if joined.proxy not in self.in_doubt:
+            return []
+        self.in_doubt.discard(joined.proxy)
+        self.joined[joined.proxy] = joined
+        self.doubted += 1
+        return [joined]
+
     def apply_answer(self, applied: face.Applied) -> list:
         """Returns the answer to a mark if the proxy is joined and no connection has reported it, else nothing."""
         if applied.proxy not in self.joined or self.last_mark.get(applied.proxy) == applied.mark:
@@ -76,6 +144,7 @@
                 if text:
                     events += self._handle_line(text, now)
                     self.received_at = now
+                    self.join_state.coverage.extend(self, now)
         except (ProtocolError, LineTooLong) as error:
             raise ProtocolError(str(error), events) from None
         return events
@@ -90,6 +159,7 @@
             if line.id != 1 or bytes(line.result) != b"true":
                 raise ProtocolError("the watch was refused")
             self.initial_proxies = set()
+            self.join_state.reader_began(self)
             return []
         if (
             isinstance(event, face.Joined)
@@ -122,7 +192,11 @@
             gone = self.join_state.apply(face.Left(event.proxy), count + 1, now)
             count += 1
         self.position[event.proxy] = count | 1
-        return gone + self.join_state.apply(event, count | 1, now)
+        return gone + self.join_state.apply(event, count | 1, now) + self.join_state.resolve_doubt(event)
+
+    def close(self, now: float, by_choice: bool) -> list:
+        """Records the end of the connection, as `JoinState.reader_ended` does. Returns the events."""
+        return self.join_state.reader_ended(self, now, by_choice)
 
     def _finish_initial(self, now: float) -> list:
         """Completes the initial read: proxies known as joined that were not in it have left meanwhile."""
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -348,6 +348,7 @@
         self.log(
             "second",
             joined=len(host.join_state.joined),
+            doubted=host.join_state.doubted,
             listed=len(host.roster.entries),
             version=host.roster.version,
             out=sum(brain.withdrawn_at[i] is not None for i in ready),
@@ -403,6 +404,7 @@
         """Starts connecting to `address`."""
         self.service = service
         self.previous_link: Link | None = None
+        self.previous_reader: NotificationReader | Watch | None = None
         self.synced = False  # the initial read was complete once, on any connection
         self._connect(address)
 
@@ -413,15 +415,18 @@
     def _connect(self, address: tuple[str, int]) -> None:
         self.host = f"{address[0]}:{address[1]}"
         self.reader, self.opened_at = self.make_reader(), self.service.loop.clock()
-        self.link = Link(
-            self.service.loop,
-            self.service.random,
-            address,
-            self._open,
-            self._data,
-            lambda reason: self.service._log_limited(f"{self.name}_lost", reason=reason),
+        loop, random = self.service.loop, self.service.random
+        self.link = link = Link(
+            loop, random, address, self._open, self._data, lambda reason: self._handle_loss(link, reason)
         )
 
+    def _handle_loss(self, link: Link, reason: str) -> None:
+        self.service._log_limited(f"{self.name}_lost", reason=reason)
+        self.handle_end(self.reader if link is self.link else self.previous_reader, by_choice=False)
+
+    def handle_end(self, reader: NotificationReader | Watch, by_choice: bool) -> None:
+        """Called when the connection of a reader has ended. `by_choice`: it was healthy and closed here."""
+
     def move(self, address: tuple[str, int]) -> None:
         """Connects to a new address. The old connection is followed until the new one has synced, or until the old
         side closes it."""
@@ -429,7 +434,7 @@
         if self.previous_link is not None and self.previous_link.connected:
             link.close()  # not synced yet: the previous link continues until another has synced
         else:
-            self.previous_link, link.closed = link, True
+            self.previous_link, self.previous_reader, link.closed = link, reader, True
             if link.connected:
                 link.stream.on_data = lambda data: self._feed(reader, link, data)
             else:
@@ -446,8 +451,9 @@
             self.synced = True
             self.link.reset_backoff()
             if self.previous_link is not None:
+                self.handle_end(self.previous_reader, by_choice=True)
                 self.previous_link.close()
-                self.previous_link = None
+                self.previous_link = self.previous_reader = None
         self.service.check_ready()
 
     def _feed(self, reader: NotificationReader | Watch, link: Link, data: bytes) -> None:
@@ -475,6 +481,10 @@
         """A reader that merges this connection into the shared state of joined proxies."""
         return NotificationReader(self.service.host.codec, self.service.host.join_state)
 
+    def handle_end(self, reader: NotificationReader, by_choice: bool) -> None:
+        """Passes on the joins that the end of this connection puts in doubt."""
+        self.service.handle_events(reader.close(self.service.loop.clock(), by_choice))
+
     def check(self, now: float) -> None:
         """Also corrects proxies whose state this connection has contradicted for longer than the maximum lag."""
         super().check(now)
