Drains go out first, and reach proxies that wait for their table

Rows went out by weight, so a round of 820 lines was a message to each of 160 proxies for 9 rows; new servers lagged behind removals. 2. Once removals left under half of a part, all its other rows went out before them: 1,640 lines of 62 changes without a removal, three times over. 3. A proxy with a table of another supervisor was told by its whole table alone, and half of the channel could stand ahead of a drain.

Change: the rows of a part go together; removals go first, then what restores half of a part; what has left is withdrawn where proxies wait for their table and let in again afterwards; tables go to who waits longest; ordinary lines leave room for a line to every proxy within the grace.

Why it works: a drain of 28 servers is one message to each of 160 proxies, some 1,100 lines, and at most 560 lines stand ahead of it.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -7,7 +7,8 @@
 ordinary table: zones complain, lasting complaints of enough zones withdraw a server under caps, the server returns
 in entry steps, and the weights of ONE shared table follow latency. At most six mechanisms go beyond the design:
 
- 1. List changes: a draining or gone server loses its line at once, outside the caps.
+ 1. List changes: a draining or gone server loses its line at once, outside the caps; where proxies wait for their table
+    it is withdrawn.
  2. Slow start: a cold server gets no more weight than it can certainly bear by now, and no more of all tries.
  3. Minimum availability: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go out one marked round at a time; capacity is reserved for urgent ones.
@@ -15,7 +16,8 @@
  6. Parts: a shared table that is too long is split into parts, and each proxy is assigned one of them.
 """
 
-from collections import OrderedDict, defaultdict, deque
+from bisect import bisect_right
+from collections import Counter, OrderedDict, defaultdict, deque
 from math import ceil
 from random import Random
 
@@ -104,6 +106,10 @@
         self.picks_of_two = facts.pick == "two"
         self.message_overhead = facts.lines_per_message + 1  # in lines, with that of the mark
         self.round_lines = ORDINARY_SHARE * min(self.queue_cap, facts.lines_per_second * facts.drain_grace)
+        self.drain_grace = facts.drain_grace
+        # Seconds for which a proxy waits for its table until servers that have left are withdrawn for it.
+        self.table_patience = (facts.drain_grace - facts.worst_transit) / 2
+        self.lines_within_grace = facts.lines_per_second * (facts.drain_grace - facts.worst_transit)
         self.message_cap = facts.message_cap
         self.message_span = facts.message_span
         self.urgent_interval = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
@@ -129,7 +135,7 @@
         self.slot_of = {}  # slot of each server, by id
         self.gone_slots = {}  # slots of servers that are gone, the longest gone first
         # Servers: parallel arrays, indexed by slot.
-        self.server_arrays = [[] for _ in range(14)]
+        self.server_arrays = [[] for _ in range(16)]
         self.server_ids = self.server_arrays[0]
         self.kind = self.server_arrays[1]
         self.state = self.server_arrays[2]
@@ -146,6 +152,8 @@
         self.part = self.server_arrays[11]
         self.line_weight = self.server_arrays[12]  # weight of the present line, 0 without one
         self.withdrawn = self.server_arrays[13]  # whether a withdrawal is in force
+        self.withdrawal_sent = self.server_arrays[14]  # time when a withdrawal was last ordered
+        self.left_at = self.server_arrays[15]  # time since when the server is not ready
         # What each zone observes of each server: parallel arrays, indexed by zone and slot.
         self.zone_arrays = [[[] for _ in zones] for _ in range(5)]
         self.reports = self.zone_arrays[0]  # queues of time, tries, errored tries, latency
@@ -173,9 +181,12 @@
         self.joined_at = {}
         self.target_part = {}  # the part that the proxy should hold
         self.held_part = {}  # the part that the proxy holds
-        self.unconfirmed = {}  # proxies that may have rejoined unseen, so that their binding may be lost
+        # Proxies that have no table of ours, or may have rejoined unseen, and since when; the longest waiting first.
+        self.waiting_since = {}
         self.unanswered = {}  # the mark that the proxy has yet to answer
         self.channel = deque()  # messages under way: mark, lines, time
+        # Lines that proxies may have been sent which only answer if they hold a withdrawn server: by mark and proxy.
+        self.uncertain_lines: dict[int, dict[int, float]] = {}
         self.last_mark = 0
         self.levels_pending = False  # levels were sent and not yet answered by all
         self.awaiting_first_list = True
@@ -240,7 +251,7 @@
         if listing.kind != face.DELTA:
             present = {entry.server for entry in listing.entries}
             for i in [i for server, i in self.slot_of.items() if server not in present]:
-                self.state[i] = face.GONE
+                self._set_state(i, face.GONE)
                 self.gone_slots.setdefault(i)
         if self.awaiting_first_list:
             self._create_parts([entry for entry in listing.entries if entry.state == face.READY])
@@ -283,13 +294,19 @@
                 # A server that starts now begins with the factor learnt for its kind, not with an average one.
                 same_kind = [k for servers in self._ready_by_part() for k in servers if self.kind[k] == entry.kind]
                 self.factor[i] = median([self.factor[k] for k in same_kind if k != i]) or 1.0
-        self.state[i] = entry.state
+        self._set_state(i, entry.state)
         self.started[i] = max(started, self.started[i])
         self.gone_slots.setdefault(i) if entry.state == face.GONE else self.gone_slots.pop(i, None)
         if self.weights_listed and entry.weight > 0:
             self.listed_weight[i] = entry.weight
         self._update_tally(i, 1)
 
+    def _set_state(self, i: int, state: int) -> None:
+        """Sets the listed state of a server."""
+        if self.state[i] == face.READY:
+            self.left_at[i] = self.now
+        self.state[i] = state
+
     def _allocate_slot(self, entry: face.Entry) -> None:
         """Allocates a slot for a new server.
 
@@ -297,13 +314,15 @@
         longest gone is reused. Late reports are looked up by server id, so none is credited to the new server.
         """
         reuse = 2 * len(self.gone_slots) > len(self.server_ids)
-        reusable = (k for k in self.gone_slots if reuse and not self.line_weight[k] and not self.withdrawn[k])
+        reusable = (k for k in self.gone_slots if reuse and not self.line_weight[k])
         i = next(reusable, len(self.server_ids))
         if i < len(self.server_ids):
+            if self.withdrawn[i]:
+                self.orders.append(face.Withdraw(False, self.server_ids[i]))
             del self.slot_of[self.server_ids[i]], self.gone_slots[i]
         self.slot_of[entry.server] = i
         initial = entry.server, entry.kind, face.GONE, LONG_AGO, LONG_AGO, None, 1.0, 1.0, [0.0] * 3, [0.0] * 3
-        for array, value in zip(self.server_arrays, (*initial, None, 0, 0.0, False), strict=True):
+        for array, value in zip(self.server_arrays, (*initial, None, 0, 0.0, False, LONG_AGO, self.now), strict=True):
             array[i : i + 1] = [value]
         for zone in range(len(self.reports)):
             self._discard_view(zone, i)
@@ -341,10 +360,11 @@
 
     def _handle_joined(self, joined: face.Joined) -> None:
         """Adds a proxy; its rate is split by the present mix of operations."""
+        self.waiting_since.pop(joined.proxy, None)
+        self.waiting_since[joined.proxy] = self.now
         if joined.proxy in self.proxy_zone:
             # Guards against a binding that was lost with a stream that ended unseen: the proxy gets its table again.
             # Until then it counts as bound, since it may be.
-            self.unconfirmed[joined.proxy] = True
             return
         self.message_times[joined.proxy] = deque()
         self.proxy_zone[joined.proxy] = joined.zone
@@ -353,22 +373,31 @@
         self.rate[joined.proxy] = sum(self.demand[joined.proxy])
 
     def _handle_left(self, left: face.Left) -> None:
-        by_proxy = self.target_part, self.held_part, self.unanswered, self.unconfirmed
+        by_proxy = self.target_part, self.held_part, self.unanswered, self.waiting_since
         for mapping in (self.message_times, self.joined_at, self.proxy_zone, self.demand, self.rate, *by_proxy):
             mapping.pop(left.proxy, None)
-        if not self.unanswered:
-            self.channel.clear()  # no proxy remains that could answer
+        for lines in self.uncertain_lines.values():
+            lines.pop(left.proxy, None)
+        self._clear_answered()  # perhaps no proxy remains that could answer
 
     def _handle_applied(self, applied: face.Applied) -> None:
         """Records a proxy's answer to a mark."""
         # Messages are delivered in order: this answer covers all messages before this mark too.
         if any(mark == applied.mark for mark, _, _ in self.channel):
             while self.channel[0][0] != applied.mark:
-                self.channel.popleft()
+                self.uncertain_lines.pop(self.channel.popleft()[0], None)
+            mark, lines, sent_at = self.channel[0]
+            lines -= self.uncertain_lines.get(mark, {}).pop(applied.proxy, 0.0)
+            self.channel[0] = mark, lines, sent_at
         if self.unanswered.get(applied.proxy) == applied.mark:
             del self.unanswered[applied.proxy]
-            if not self.unanswered:
-                self.channel.clear()
+        self._clear_answered()
+
+    def _clear_answered(self) -> None:
+        """Forgets the messages under way once no answer is due."""
+        if not self.unanswered and not any(self.uncertain_lines.values()):
+            self.channel.clear()
+            self.uncertain_lines.clear()
 
     # ---- reports and complaints ----
 
@@ -669,7 +698,18 @@
         withdrawn = [at is not None and self.state[i] == face.READY for i, at in enumerate(self.withdrawn_at)]
         # Guards against a part without a usable server: without another warm one, no server is withdrawn for health.
         parts_with_warm = {self.part[i] for i in range(len(withdrawn)) if self.is_warm(i) and not withdrawn[i]}
-        return [is_withdrawn and self.part[i] in parts_with_warm for i, is_withdrawn in enumerate(withdrawn)]
+        # What has left stays withdrawn as long as a proxy may hold it by a table of another supervisor.
+        keep = bool(self.waiting_since or self.unanswered)
+        return [
+            (is_withdrawn and self.part[i] in parts_with_warm)
+            or (
+                keep
+                and self.state[i] != face.READY
+                and self.withdrawn[i]
+                and self.withdrawal_sent[i] >= self.left_at[i]
+            )
+            for i, is_withdrawn in enumerate(withdrawn)
+        ]
 
     def _assign_parts(self, weights: list[float], withdrawn: list[bool]) -> None:
         """Decides which part each proxy should hold. Guards against overloaded parts and parts without a server."""
@@ -775,89 +815,171 @@
 
     def _reconcile(self, weights: list[float], withdrawals: list[bool]) -> None:
         """Appends the orders that lead from the present state to the target state, as far as the caps allow."""
+        self._give_up_lost_answers()
+        removals, cuts, ordinary = self._line_changes(weights, withdrawals)
+        shrinking = self._restore_shrinking_parts(removals, cuts, ordinary, weights, withdrawals)
+        for k, (level, tries) in enumerate(self.target_levels):
+            for part in range(len(self.part_zone)):
+                present, present_tries = self.current_levels.get((part, k), (0.0, None))
+                if present_tries != tries or abs(level - present) >= MIN_RELATIVE_CHANGE * present:
+                    ordinary.append((-1.0, part, face.SetLevel(part, level, 1 << k, tries)))
+        holders: dict[int, list[int]] = defaultdict(list)
+        for proxy in self.proxy_zone:
+            holders[self.held_part.get(proxy)].append(proxy)  # None: those that hold tables of other supervisors
+        selected, messages, round_answered = [], {}, not self.unanswered
+        if self.now >= self.next_urgent:
+            for rows in removals, cuts:
+                if self._select_orders(rows, holders, messages, self.queue_cap, 1.0, selected):
+                    self.next_urgent = self.now + self.urgent_interval
+        # Guards against drains that come late since other lines are ahead of them: a drain may concern every proxy.
+        drain_lines = len(self.proxy_zone) * (1 + self.message_overhead)
+        ordinary_lines = max(self.round_lines * ORDINARY_SHARE, self.lines_within_grace - drain_lines)
+        ordinary_lines = min(self.round_lines, ordinary_lines)
+        rows = [row for row in ordinary if round_answered or row[1] not in holders or row[1] in shrinking]
+        self._select_orders(rows, holders, messages, ordinary_lines, ORDINARY_SHARE, selected)
+        self._assign_tables(messages, ordinary_lines, round_answered, selected)
+        certain = set(messages)
+        if self.waiting_since:
+            self._withdraw_for_waiting(holders, messages, selected)
+        if messages:
+            self.last_mark = self.last_mark % MAX_MARK + 1
+            selected.append(face.Mark(False, self.last_mark))
+            self.levels_pending |= any(isinstance(order, face.SetLevel) for order in selected)
+            self.channel.append((self.last_mark, sum(messages.values()), self.now))
+            uncertain = {proxy: lines for proxy, lines in messages.items() if proxy not in certain}
+            if uncertain:
+                self.uncertain_lines[self.last_mark] = uncertain
+            for proxy in messages:
+                self.message_times[proxy].append(self.now)
+            self.unanswered |= dict.fromkeys(certain, self.last_mark)
+        self.orders += selected
+
+    def _give_up_lost_answers(self) -> None:
+        """Guards against a lost answer that blocks all later rounds."""
         while self.channel and self.now - self.channel[0][2] > self.answer_timeout:
-            self.channel.popleft()  # a lost answer must not block later rounds
+            self.uncertain_lines.pop(self.channel.popleft()[0], None)
             pending_marks = {mark for mark, _, _ in self.channel}
             self.unanswered = {p: mark for p, mark in self.unanswered.items() if mark in pending_marks}
-        urgent, ordinary = [], []
+
+    def _line_changes(self, weights: list[float], withdrawals: list[bool]) -> tuple[list, list, list]:
+        """The changes of lines and withdrawals as `_select_orders` takes them: urgent removals, the longest gone server
+        first; urgent cuts for cold servers; ordinary ones, the largest change first."""
+        removals, cuts, ordinary = [], [], []
         for i, weight in enumerate(weights):
             part, present = self.part[i], self.line_weight[i]
             order = (part, face.SetLine(self.server_ids[i], weight, part))
             restarted = self.entered[i] == self.now or self.now - self.started[i] < self.warm_within
-            if present and (not weight or (restarted and weight < present * (1 - MAX_SOLVE_STEP))):
-                urgent.append((weight, *order))
+            if present and not weight:
+                removals.append((self.left_at[i], *order))
+            elif present and restarted and weight < present * (1 - MAX_SOLVE_STEP):
+                cuts.append((weight, *order))
             elif weight and (not present or abs(weight - present) >= MIN_RELATIVE_CHANGE * present):
-                ordinary.append((-abs(weight - present) / (weight + present), *order))  # the largest first
+                ordinary.append((-abs(weight - present) / (weight + present), *order))
             if withdrawals[i] != self.withdrawn[i]:
                 ordinary.append((-1.0, part if present else NO_PART, face.Withdraw(withdrawals[i], self.server_ids[i])))
+        return removals, cuts, ordinary
+
+    def _restore_shrinking_parts(
+        self, removals: list, cuts: list, ordinary: list, weights: list[float], withdrawals: list[bool]
+    ) -> set[int]:
+        """Moves ordinary rows to the urgent ones where removals leave little of a part, the largest gain of weight
+        first, until enough of it remains. Returns these parts.
+
+        Guards against a moment without a server, and against cold servers that inherit the share of warm ones that
+        leave. The other rows of these parts need not wait for answers, but only go out within the ordinary lines:
+        together they would delay the removals.
+        """
         remaining = [0.0] * len(self.part_zone)
         for part, weight, present, withdrawn in zip(self.part, weights, self.line_weight, withdrawals, strict=True):
             remaining[part] += 0.0 if withdrawn else min(weight, present)
-        for part in {part for weight, part, _ in urgent if not weight}:
-            if remaining[part] <= self.part_weight[part] * REMAINING_WEIGHT_THRESHOLD:
-                # Guards against a moment without a server, and against cold servers that inherit the share of warm
-                # ones that leave: what replaces most of a table goes out together with the removals.
-                urgent = [row for row in ordinary if row[1] == part] + urgent
-                ordinary = [row for row in ordinary if row[1] != part]
-        for k, (level, tries) in enumerate(self.target_levels):
-            for part in range(len(self.part_zone)):
-                present, present_tries = self.current_levels.get((part, k), (0.0, None))
-                if present_tries != tries or abs(level - present) >= MIN_RELATIVE_CHANGE * present:
-                    ordinary.append((-1.0, part, face.SetLevel(part, level, 1 << k, tries)))
-        holders: dict[int, list[int]] = defaultdict(list)
-        for proxy in self.proxy_zone:
-            holders[self.held_part.get(proxy)].append(proxy)  # None: those that hold tables of other supervisors
-        selected, messages, round_answered = [], {}, not self.unanswered
-        if self.now >= self.next_urgent and self._select_orders(
-            urgent, holders, messages, self.queue_cap, 1.0, selected
-        ):
-            self.next_urgent = self.now + self.urgent_interval
-        rows = [row for row in ordinary if round_answered or row[1] not in holders]
-        self._select_orders(rows, holders, messages, self.round_lines, ORDINARY_SHARE, selected)
+        needed = [weight * REMAINING_WEIGHT_THRESHOLD for weight in self.part_weight]
+        shrinking = {part for _, part, _ in removals if remaining[part] <= needed[part]}
+        gains = {
+            row: row[2].weight - self.line_weight[self.slot_of[row[2].server]]
+            for row in ordinary
+            if row[1] in shrinking and isinstance(row[2], face.SetLine)
+        }
+        for row, gain in sorted(gains.items(), key=lambda item: -item[1]):
+            _, part, order = row
+            if remaining[part] <= needed[part]:
+                ordinary.remove(row)
+                # With the removals only if those would leave nothing, so that they do not wait for it.
+                (cuts if remaining[part] else removals).append((LONG_AGO, part, order))
+                remaining[part] += gain
+        return shrinking
+
+    def _assign_tables(self, messages: dict, ordinary_lines: float, round_answered: bool, selected: list) -> None:
+        """Selects the tables of the proxies that should hold another part, the longest waiting proxy first."""
         part_lines = [0] * len(self.part_zone)
         for part, line, withdrawn in zip(self.part, self.line_weight, self.withdrawn, strict=True):
-            part_lines[part] += bool(line) + withdrawn
-        for proxy, part in self.target_part.items():
-            held = None if proxy in self.unconfirmed else self.held_part.get(proxy)
+            part_lines[part] += bool(line) * (1 + withdrawn)
+        waiting_lines = self.waiting_lines() + sum(messages.values())
+        for proxy in sorted(self.target_part, key=lambda proxy: self.waiting_since.get(proxy, self.now)):
+            part = self.target_part[proxy]
+            held = None if proxy in self.waiting_since else self.held_part[proxy]
             # Any other change of part is mandatory.
             is_move = held is not None and self.part_weight[held] and proxy not in self.displaced
             if held == part or (is_move and not round_answered):
                 continue
-            size, share = (
-                1 + part_lines[part] + len(self.objectives) + self.message_overhead,
-                ORDINARY_SHARE if is_move else 1.0,
-            )
-            waiting = self.waiting_lines() + sum(messages.values())
-            limit = self.queue_cap * (
-                ORDINARY_SHARE if waiting and held is None else share
-            )  # reserves capacity for drains
-            if waiting + size > limit or not self._may_message(proxy, share):
+            size = 1 + part_lines[part] + len(self.objectives) + self.message_overhead
+            share = ORDINARY_SHARE if is_move else 1.0
+            limit = self.queue_cap * share
+            if waiting_lines and held is None:
+                limit = min(self.queue_cap * ORDINARY_SHARE, ordinary_lines)  # reserves capacity for drains
+            if waiting_lines + size > limit or not self._may_message(proxy, share):
                 continue
             selected.append(face.UseTable(0, part, proxy))
             self.held_part[proxy] = part
-            self.unconfirmed.pop(proxy, None)
+            self.waiting_since.pop(proxy, None)
             messages[proxy] = messages.get(proxy, 0) + size
-        if messages:
-            self.last_mark = self.last_mark % MAX_MARK + 1
-            selected.append(face.Mark(False, self.last_mark))
-            self.levels_pending |= any(isinstance(order, face.SetLevel) for order in selected)
-            self.channel.append((self.last_mark, sum(messages.values()), self.now))
-            for proxy in messages:
-                self.unanswered[proxy] = self.last_mark
-                self.message_times[proxy].append(self.now)
-        self.orders += selected
+            waiting_lines += size
+
+    def _withdraw_for_waiting(self, holders: dict, messages: dict, selected: list) -> None:
+        """Selects withdrawals of the servers that have left where proxies wait for their table.
+
+        Guards against proxies with tables of other supervisors that go on sending to servers that drain, since whole
+        tables for a flood of joins take the channel longer than the grace.
+        """
+        since = list(self.waiting_since.values())
+        gone = (i for i, state in enumerate(self.state) if state != face.READY)
+        untold = [i for i in gone if self.withdrawal_sent[i] < since[-1]]  # to the last one that waits, at least
+        oldest = {i: since[bisect_right(since, self.withdrawal_sent[i])] for i in untold}
+        if not any(self.now - max(oldest[i], self.left_at[i]) >= self.table_patience for i in untold):
+            removed = {order.server for order in selected if isinstance(order, face.SetLine) and not order.weight}
+            untold = [i for i in untold if self.server_ids[i] in removed]  # shares the messages of their removal
+        # A table of another supervisor is assumed to hold as many of them as the part of ours that lost most of late.
+        lately = self.now - 2 * self.drain_grace
+        lines = Counter(self.part[i] for i in untold if self.left_at[i] >= lately)
+        costs = dict.fromkeys([*self.waiting_since, *holders.get(None, [])], max(lines.values(), default=1))
+        for part in lines:
+            # Those that have not applied the removal yet are written to as well.
+            costs |= {p: lines[part] for p in holders.get(part, []) if p in messages or p in self.unanswered}
+        unwritten = [proxy for proxy in costs if proxy not in messages]
+        used = self.waiting_lines() + sum(messages.values())
+        total = used + sum(costs.values()) + len(unwritten) * self.message_overhead
+        if not untold or total > self.queue_cap or not all(self._may_message(proxy, 1.0) for proxy in unwritten):
+            return
+        for proxy, cost in costs.items():
+            messages[proxy] = messages.get(proxy, self.message_overhead) + cost
+        for i in untold:
+            self.withdrawn[i], self.withdrawal_sent[i] = True, self.now
+            selected.append(face.Withdraw(True, self.server_ids[i]))
 
     def _select_orders(
         self, rows: list, holders: dict, messages: dict, max_lines: float, cap_share: float, selected: list
     ) -> bool:
-        """Selects the orders that fit, the lowest key first, and records them as the present state.
+        """Selects the orders that fit, the part with the lowest key first, and records them as the present state.
 
         `rows` are sort key, part and order; `holders` are the proxies of each part. `messages`, the lines of each
         proxy's message, and `selected` are extended. They fit within `max_lines` and `cap_share` of the caps. Returns
         whether any order was selected.
         """
         waiting, used, sent, may_write = self.waiting_lines(), sum(messages.values()), False, {}
-        for _, part, order in sorted(rows, key=lambda row: row[0]):
+        first_key: dict[int, float] = {}
+        for key, part, _ in rows:
+            first_key[part] = min(key, first_key.get(part, key))
+        # The rows of a part go together, so that their proxies get one message instead of several.
+        for _, part, order in sorted(rows, key=lambda row: (first_key[row[1]], row[1], row[0])):
             proxies = holders.get(part, []) + holders.get(None, []) * isinstance(order, face.Withdraw)
             if part not in may_write:
                 may_write[part] = all(proxy in messages or self._may_message(proxy, cap_share) for proxy in proxies)
@@ -874,6 +996,7 @@
                 self.line_weight[self.slot_of[order.server]] = order.weight
             elif isinstance(order, face.Withdraw):
                 self.withdrawn[self.slot_of[order.server]] = order.on
+                self.withdrawal_sent[self.slot_of[order.server]] = self.now if order.on else LONG_AGO
             else:
                 self.current_levels[part, order.operations.bit_length() - 1] = (order.level, order.tries)
         return sent
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -301,13 +301,13 @@
     sent = len(brain.message_times[1])
     orders = brain.handle(world.now + 0.1, [face.Joined(1, False, 1, 4.0)])
     assert [order.proxy for order in orders if isinstance(order, face.UseTable)] == [1]
-    assert len(brain.message_times[1]) == sent + 1 and not brain.unconfirmed
+    assert len(brain.message_times[1]) == sent + 1 and not brain.waiting_since
     # It counts as bound while it waits for its table: it may be.
     brain._may_message = lambda proxy, share: proxy != 1
     brain.handle(world.now + 0.2, [face.Joined(1, False, 1, 4.0)])
-    assert 1 in brain.held_part and 1 in brain.unconfirmed
+    assert 1 in brain.held_part and 1 in brain.waiting_since
     brain.handle(world.now + 0.3, [face.Left(1)])
-    assert 1 not in brain.held_part and not brain.unconfirmed
+    assert 1 not in brain.held_part and not brain.waiting_since
 
 
 def test_asking_for_the_list_again_after_a_failure():
