Tiers: the record ends after each supervisor's last version report

What the judge wants is unchanged, and a supervisor that reports another version or none still fails.

--- a/driftshed/day/tiers.py
+++ b/driftshed/day/tiers.py
@@ -21,13 +21,20 @@
 from driftshed.core.messages import ListedServer, RosterUpdate, encode_json
 from driftshed.day.fault_relay import BACK, FORTH, FaultRelay, frame_length
 from driftshed.day.fleet import OPERATION_FLAG, POLL_INTERVAL_S, FleetProcess
-from driftshed.day.hierarchy_judge import FleetLayout, HierarchyJudge
+from driftshed.day.hierarchy_judge import (
+    FINAL_REPORTS_S,
+    RUNS_PATH,
+    VERSION_DECODER,
+    FleetLayout,
+    HierarchyJudge,
+    VersionReport,
+)
 from driftshed.day.judge import Verdict
 from driftshed.day.recorder import CONTROL, ORDER, STORED, Recorder, read_record
 from driftshed.day.relay import Relay
 from driftshed.day.stage import reserve_network
 from driftshed.day.traffic import read_traffic
-from driftshed.net.http import Answer, HttpClient, HttpServer
+from driftshed.net.http import Answer, HttpClient, HttpServer, Request
 from driftshed.net.loop import Loop
 
 NAME = "tiers"
@@ -58,6 +65,8 @@
 SERVERS = 4  # each list leaves out one of them, in turn
 FIRST_CHANGE_S, FIRST_FAULT_S, FAULT_INTERVAL_S = 2.5, 3.5, 1.7  # seconds: the first of each, and between faults
 CONVERGENCE_TIMEOUT_S = 40.0  # after the last fault, until all follow one policy
+REPORTS_TIMEOUT_S = 10.0  # after that, until each has reported its version
+RECENT_REPORT_S = FINAL_REPORTS_S / 2  # age up to which a report is still within the judge's time when the record ends
 PROPOSAL_TIMEOUT_S = (2.0, 8.0)  # range of seconds that proposals wait for votes
 # Until two supervisors are asked again, and the added delay of their connections then.
 CONFLICT_DELAY_S, CONFLICT_LAG_S = 0.8, 0.15
@@ -196,7 +205,9 @@
         self.record = folder / "record"
         self.recorder = Recorder(self.loop, self.record)
         self.events: list[dict] = []
-        self.sink = HttpServer(self.loop, self._at(0, 3, 7002), lambda request: request.answer(200))
+        # The last version report of each supervisor, and when it was received.
+        self.version_reports: dict[str, tuple[float, VersionReport]] = {}
+        self.sink = HttpServer(self.loop, self._at(0, 3, 7002), self._handle_report)
         self.sink.on_connection = self.recorder.tap_accepted(ORDER, self.sink.address)
         self.stores = {name: self._store_process(k, name) for k, name in enumerate(("", *REGIONS))}
         self.store_addresses = {name: self._at(STORES, 1 + k, 2181) for k, name in enumerate(("", *REGIONS))}
@@ -387,6 +398,12 @@
         self.loop.close()
         self.lock.close()
 
+    def _handle_report(self, request: Request) -> None:
+        if request.path == RUNS_PATH:
+            report = VERSION_DECODER.decode(request.body)
+            self.version_reports[report.name] = self.loop.clock(), report
+        request.answer(200)
+
     def _end_record(self) -> None:
         self.sink.close()
         for relay in self.relays:
@@ -420,6 +437,18 @@
         versions = {each for view in views for each in (view["runs"], view["standing"]["version"])}
         return len(versions) == 1 and version in (None, *versions)
 
+    def await_version_reports(self, version: int | None = None) -> float:
+        """Waits until each supervisor has reported lately that it follows the same version (this one, if given), as the
+        judge wants it at the end of a record. Returns the seconds that it took; AssertionError after
+        REPORTS_TIMEOUT_S."""
+
+        def have_reported() -> bool:
+            reports = dict(self.version_reports)
+            recent = [report.version for at, report in reports.values() if at > self.loop.clock() - RECENT_REPORT_S]
+            return len(recent) == len(NAMES) and len({*recent, *([] if version is None else [version])}) == 1
+
+        return self.until(have_reported, REPORTS_TIMEOUT_S)
+
     def until(self, condition: Callable[[], object], bound: float = 40.0) -> float:
         """Waits until the condition holds and returns the seconds that it took; AssertionError after `bound`
         seconds."""
@@ -566,9 +595,9 @@
             try:
                 took = harness.until(harness.converged, CONVERGENCE_TIMEOUT_S)
                 harness.record_event("all go by one policy", took=round(took, 2))
+                harness.await_version_reports()
             except AssertionError:
                 harness.record_event("not all go by one policy")
-            time.sleep(0.3)  # so that each has reported its version once more
     finally:
         harness.close()
     return harness
--- a/tests/test_tiers_processes.py
+++ b/tests/test_tiers_processes.py
@@ -191,6 +191,7 @@
     resumed_at = supervisor_is_stopped_past_its_lease_and_resumed(harness)
     region_is_cut_off_while_a_change_is_open(harness)
     harness.until(lambda: harness.converged(5))
+    harness.await_version_reports(5)
     harness.close()
     verdict, hierarchy_judge = judge(harness)
     assert not verdict.violations, verdict.violations
