Capacity test compares fits up to the rounding of least squares

test_forms_errors_and_extrapolations_follow_from_the_measured_values compared coefficients that LAPACK computes bit for bit with stored ones. It now allows 1e-12 of the value, or of 1 where that is less; all other fields are compared exactly, and a wrong fit still fails.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -134,10 +134,18 @@
         assert all(low <= value <= high for value, (low, high) in zip(row["values"], row["spread"], strict=True))
 
 
+# Least squares differ in their last bits between processors; relative to the value, or to 1 where it is less.
+ROUNDING = 1e-12
+
+
 def test_forms_errors_and_extrapolations_follow_from_the_measured_values():
     for row in RESULTS["rows"]:
-        if row["kind"] != "computed":
-            assert capacity.fit_row(row) == {key: row[key] for key in capacity.fit_row(row)}, row["key"]
+        if row["kind"] == "computed":
+            continue
+        for name, value in capacity.fit_row(row).items():
+            is_number = isinstance(value, float | list)
+            stored = pytest.approx(row[name], rel=ROUNDING, abs=ROUNDING) if is_number else row[name]
+            assert value == stored, (row["key"], name)
 
 
 def test_the_chance_of_a_void_change_follows_from_the_told_rates():
