--- a/tests/takeovers.py
+++ b/tests/takeovers.py
@@ -17,14 +17,15 @@
 class Proxy:
     """A joined proxy: the lines that it has applied, and the table that it is bound to at the relay."""
 
-    def __init__(self, number: int, joined_at: float, lines: set[bytes]) -> None:
+    def __init__(self, number: int, joined_at: float, lines: dict[bytes, float]) -> None:
         self.number, self.joined_at, self.lines = number, joined_at, lines
         self.table: int | None = None
         self.withdrawn: set[bytes] = set()
         self.last_arrival = 0.0
+        self.message_sent_at = -1.0  # of the last message that it has applied
 
-    def usable(self) -> set[bytes]:
-        return self.lines - self.withdrawn
+    def usable(self) -> dict[bytes, float]:
+        return {server: weight for server, weight in self.lines.items() if server not in self.withdrawn}
 
 
 class TakeoverFleet:
@@ -41,7 +42,7 @@
         self.states: dict[bytes, int] = {}
         self.told_at: dict[bytes, float] = {}  # of servers that are not ready: when the supervisor was told
         self.channel_free_at, self.channel = self.now, deque()  # times of leaving and lines
-        self.deliveries: list[tuple[float, Proxy, list, list[int]]] = []
+        self.deliveries: list[tuple[float, Proxy, list, list[int], float]] = []
         self.max_waiting = 0.0
         self.late: dict[tuple[int, bytes], float] = {}
         self.started: dict[bytes, float | None] = {}
@@ -60,7 +61,7 @@
 
     def join(self, number: int, lines: set[bytes]) -> None:
         """A proxy joins with the lines of a table of another supervisor."""
-        self.proxies[number] = Proxy(number, self.now, lines)
+        self.proxies[number] = Proxy(number, self.now, dict.fromkeys(lines, 1.0))
         self.events.append(face.Joined(number % 2, not lines, number, 1.0))
 
     def list_servers(self, state: int, servers: list[bytes]) -> None:
@@ -125,7 +126,7 @@
                 table = self.tables[order.table]
                 self.proxies[order.proxy].table = order.table
                 cost = 1 + len(table) + len(self.levels[order.table]) + len(self.withdrawn & set(table))
-                messages[order.proxy].append((cost, ("table", set(table), set(self.withdrawn))))
+                messages[order.proxy].append((cost, ("table", dict(table), set(self.withdrawn))))
         for number, content in messages.items():
             self._send(self.proxies[number], content, marks)
 
@@ -143,21 +144,24 @@
         self.max_waiting = max(self.max_waiting, sum(each for _, each in self.channel))
         transit = self.random.uniform(0.36, 1.6) * self.facts.transit
         proxy.last_arrival = max(self.channel_free_at + transit, proxy.last_arrival)
-        self.deliveries.append((proxy.last_arrival, proxy, [what for _, what in content], marks))
+        self.deliveries.append((proxy.last_arrival, proxy, [what for _, what in content], marks, self.now))
 
     def _deliver(self) -> None:
         due = [each for each in self.deliveries if each[0] <= self.now]
         self.deliveries = [each for each in self.deliveries if each[0] > self.now]
-        for _, proxy, content, marks in sorted(due, key=lambda each: each[0]):
+        for _, proxy, content, marks, sent_at in sorted(due, key=lambda each: each[0]):
+            proxy.message_sent_at = sent_at
             for what in content:
                 self._apply(proxy, *what)
             self.events += [face.Applied(mark, proxy.number, self.facts.transit) for mark in marks]
 
     def _apply(self, proxy: Proxy, what: str, *fields) -> None:
         if what == "table":
-            proxy.lines, proxy.withdrawn = set(fields[0]), set(fields[1])
+            proxy.lines, proxy.withdrawn = dict(fields[0]), set(fields[1])
+        elif what == "SetLine" and fields[0].weight:
+            proxy.lines[fields[0].server] = fields[0].weight
         elif what == "SetLine":
-            (proxy.lines.add if fields[0].weight else proxy.lines.discard)(fields[0].server)
+            proxy.lines.pop(fields[0].server, None)
         elif what == "Withdraw":
             (proxy.withdrawn.add if fields[0].on else proxy.withdrawn.discard)(fields[0].server)
 
--- /dev/null
+++ b/tests/test_cold_servers.py
@@ -0,0 +1,53 @@
+"""Cold servers while servers restart in place, streams break, and orders wait for answers."""
+
+from random import Random
+
+from tests.cold_fleets import REDIAL_S, BrokenStreams, ColdFleet, random_restarts
+from tests.takeovers import server_id
+
+SERVERS, JOINED = 30, 80
+SETTINGS = (
+    "domain.proxies=240\nbalancers=3\ndomain.linesPerS=1300\ndomain.queueCap=1950\nlanes.count=2\n"
+    "domain.minConnCap=157\ndomain.pick=two\ndomain.transitUs=306000\ndomain.worstTransitUs=765000\n"
+    "invariants.drainGraceUs=3000000\ninvariants.warmWithinUs=16000000\n"
+    "invariants.coldFrom=0.15\ninvariants.tipMultiple=4\n"
+)
+
+
+def play_restarts(seed: int) -> ColdFleet:
+    """Servers of two kinds restart in place for 38 s, some fail, streams break, and other proxies join."""
+    random = Random(seed)
+    load, size, interval = random.uniform(0.5, 1.2), random.choice([2, 2, 3]), random.uniform(2.5, 5.0)
+    failing, broken_per_second = random.choice([0, 3, 5]), random.choice([0.0, 1.5, 4.0])
+    joining, crashes = random.choice([0, 58, 100]), random.random() < 0.5
+    fleet = ColdFleet(SERVERS, JOINED, SETTINGS, seed, load)
+    fleet.capacity *= (JOINED + joining) / JOINED
+    for number in range(SERVERS):
+        speed = random.uniform(0.51, 0.69) if number // 2 % 2 else random.uniform(0.85, 1.1)
+        fleet.speeds[server_id(number)] = max(0.5, random.gauss(1.0, 0.2)) * speed / 0.79
+    fleet.play(10.0)
+    for number in random.sample(range(SERVERS), failing):
+        fleet.failing[server_id(number)] = random.uniform(0.3, 0.9)
+    random_restarts(fleet, random, 38.0, size, interval, crashes)
+    break_streams = BrokenStreams(fleet, broken_per_second, random)
+    at = fleet.now + random.uniform(8.0, 20.0)
+    coming = sorted((at + random.uniform(*REDIAL_S), JOINED + number) for number in range(joining))
+
+    def before(fleet: ColdFleet) -> None:
+        break_streams(fleet)
+        while coming and coming[0][0] <= fleet.now:
+            number = coming.pop(0)[1]
+            listed = [server for server in fleet.states if fleet.entry(server).zone == number % 2]
+            fleet.join(number, set(fleet.random.sample(listed, 5)))
+
+    fleet.play(50.0, before)
+    return fleet
+
+
+def test_cold_servers_are_not_overloaded_while_orders_for_warm_ones_wait():
+    """Guards against cold servers that get the share of warm ones whose orders are not out yet."""
+    for seed in (216, 233, 348, 358):
+        fleet = play_restarts(seed)
+        assert fleet.judge.worst.multiple <= fleet.facts.tip_multiple, (seed, fleet.judge.worst)
+        assert fleet.max_waiting <= fleet.facts.queue_cap
+        assert not fleet.late
