A server that is to be let in again counts only once that is in force

Cause: decisions took the wanted state for the one that proxies hold. Ordinary orders wait until every proxy has answered and until they fit into a round. A server whose withdrawal was over counted as usable at once, though the order that lets it in had not gone out. So another one was withdrawn for health as long as "a warm one remains", or the last usable one was removed as a drain, and only cold servers were left to pick. The part did not count as short either (_restore_shrinking_parts added the line of a server that was still shut out), so nothing was sent sooner.

Why this works: a health withdrawal needs another warm server that proxies can pick now; what lets a server in goes before what shuts one out; and a part is short by what is in force, whatever made it short: then the orders that bring warm servers into force are urgent. Cold servers are not raised one by one in a part without a warm one, since the one that is raised gets the share of all.

Class of bug: deciding by the wanted state where the one in force may lag behind it.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -234,7 +234,8 @@
             if now >= self.next_solve:
                 self.next_solve = now + SOLVE_INTERVAL_S
                 self._solve()
-        weights, withdrawals = self._target_weights(), self._target_withdrawals()
+        withdrawals = self._target_withdrawals()
+        weights = self._target_weights(withdrawals)
         self._assign_parts(weights, withdrawals)
         self._reconcile(weights, withdrawals)
         return self.orders
@@ -513,7 +514,9 @@
             out_count = sum(self.withdrawn_at[k] is not None for k in part_servers)
             while recent_withdrawals and recent_withdrawals[0] <= self.now - WITHDRAWAL_BUDGET_WINDOW_S:
                 recent_withdrawals.popleft()
-            warm_remains = any(self.is_warm(k) and self.withdrawn_at[k] is None for k in part_servers if k != i)
+            others = (k for k in part_servers if k != i and self.withdrawn_at[k] is None and self.is_warm(k))
+            # Guards against cold servers that are left alone: one that has been let in counts once that is in force.
+            warm_remains = any(self.line_weight[k] and not self.withdrawn[k] for k in others)
             if (
                 out_count + 1 > min(MAX_WITHDRAWN, int(len(part_servers) * MAX_WITHDRAWN_SHARE))
                 or len(recent_withdrawals) >= WITHDRAWAL_BUDGET
@@ -643,7 +646,7 @@
 
     # ---- target state ----
 
-    def _target_weights(self) -> list[float]:
+    def _target_weights(self, withdrawals: list[bool]) -> list[float]:
         """The weight that the line of each server should have now; 0 for no line. Also sets `bearable_share`."""
         weights = [0.0] * len(self.server_ids)
         by_part = self._ready_by_part()
@@ -686,13 +689,18 @@
                     cold_limit[i] = 1 - max(0.0, 1 - share) ** 0.5 if self.picks_of_two else share
             # Guards against overloading a cold server: whatever the demand, its share of all tries stays within what
             # it can bear, while warm servers do not fail. Harm: in a deep overload it is underused.
-            warm_weight = sum(weights[i] for i in servers if i not in cold_limit and self.withdrawn_at[i] is None)
+            warm = [i for i in servers if i not in cold_limit and not withdrawals[i]]
+            warm_weight = sum(weights[i] for i in warm)
             self.bearable_share[part] = float("inf") if warm_weight else self.bearable_share[part]
             if warm_weight and sum(cold_limit.values()) < 1:
                 for i, share in cold_limit.items():
                     weights[i] = min(weights[i], share * warm_weight / (1 - sum(cold_limit.values())))
         return weights
 
+    def _weight_in_force(self, i: int, target_weight: float) -> float:
+        """The weight with which proxies may pick a server now: at most that of its line, 0 while it is withdrawn."""
+        return 0.0 if self.withdrawn[i] else min(target_weight, self.line_weight[i])
+
     def _target_withdrawals(self) -> list[bool]:
         """Whether each server should be withdrawn now."""
         withdrawn = [at is not None and self.state[i] == face.READY for i, at in enumerate(self.withdrawn_at)]
@@ -817,7 +825,7 @@
         """Appends the orders that lead from the present state to the target state, as far as the caps allow."""
         self._give_up_lost_answers()
         removals, cuts, ordinary = self._line_changes(weights, withdrawals)
-        shrinking = self._restore_shrinking_parts(removals, cuts, ordinary, weights, withdrawals)
+        short_parts = self._restore_short_parts(removals, cuts, ordinary, weights, withdrawals)
         for k, (level, tries) in enumerate(self.target_levels):
             for part in range(len(self.part_zone)):
                 present, present_tries = self.current_levels.get((part, k), (0.0, None))
@@ -835,7 +843,7 @@
         drain_lines = len(self.proxy_zone) * (1 + self.message_overhead)
         ordinary_lines = max(self.round_lines * ORDINARY_SHARE, self.lines_within_grace - drain_lines)
         ordinary_lines = min(self.round_lines, ordinary_lines)
-        rows = [row for row in ordinary if round_answered or row[1] not in holders or row[1] in shrinking]
+        rows = [row for row in ordinary if round_answered or row[1] not in holders or row[1] in short_parts]
         self._select_orders(rows, holders, messages, ordinary_lines, ORDINARY_SHARE, selected)
         self._assign_tables(messages, ordinary_lines, round_answered, selected)
         certain = set(messages)
@@ -876,37 +884,52 @@
             elif weight and (not present or abs(weight - present) >= MIN_RELATIVE_CHANGE * present):
                 ordinary.append((-abs(weight - present) / (weight + present), *order))
             if withdrawals[i] != self.withdrawn[i]:
-                ordinary.append((-1.0, part if present else NO_PART, face.Withdraw(withdrawals[i], self.server_ids[i])))
+                # Servers that are let in go before the withdrawal of others that they stand in for.
+                key = -1.0 if withdrawals[i] else -2.0
+                ordinary.append((key, part if present else NO_PART, face.Withdraw(withdrawals[i], self.server_ids[i])))
         return removals, cuts, ordinary
 
-    def _restore_shrinking_parts(
+    def _restore_short_parts(
         self, removals: list, cuts: list, ordinary: list, weights: list[float], withdrawals: list[bool]
     ) -> set[int]:
-        """Moves ordinary rows to the urgent ones where removals leave little of a part, the largest gain of weight
-        first, until enough of it remains. Returns these parts.
+        """Moves ordinary rows of warm servers to the urgent ones where little of a part is in force, the largest gain
+        of weight first, until enough of it is; where nothing else would be in force, those of all servers. Returns
+        these parts.
 
         Guards against a moment without a server, and against cold servers that inherit the share of warm ones that
-        leave. The other rows of these parts need not wait for answers, but only go out within the ordinary lines:
-        together they would delay the removals.
+        leave or are withdrawn. The other rows of these parts need not wait for answers, but only go out within the
+        ordinary lines: together they would delay the removals.
         """
-        remaining = [0.0] * len(self.part_zone)
-        for part, weight, present, withdrawn in zip(self.part, weights, self.line_weight, withdrawals, strict=True):
-            remaining[part] += 0.0 if withdrawn else min(weight, present)
+        in_force = [0.0] * len(self.part_zone)
+        for i, part in enumerate(self.part):
+            in_force[part] += 0.0 if withdrawals[i] else self._weight_in_force(i, weights[i])
         needed = [weight * REMAINING_WEIGHT_THRESHOLD for weight in self.part_weight]
-        shrinking = {part for _, part, _ in removals if remaining[part] <= needed[part]}
-        gains = {
-            row: row[2].weight - self.line_weight[self.slot_of[row[2].server]]
-            for row in ordinary
-            if row[1] in shrinking and isinstance(row[2], face.SetLine)
-        }
-        for row, gain in sorted(gains.items(), key=lambda item: -item[1]):
+        short = {part for part, weight in enumerate(in_force) if weight <= needed[part]}
+        gains = [(self._gain(row[2], weights), row) for row in ordinary if row[1] in short]
+        gains = sorted((each for each in gains if each[0] > 0), key=lambda each: -each[0])
+        warm_gains = [(gain, row) for gain, row in gains if self.is_warm(self.slot_of[row[2].server])]
+        empty = {part for part in short if not in_force[part]} - {row[1] for _, row in warm_gains}
+        for gain, row in warm_gains:
             _, part, order = row
-            if remaining[part] <= needed[part]:
+            if in_force[part] <= needed[part]:
                 ordinary.remove(row)
                 # With the removals only if those would leave nothing, so that they do not wait for it.
-                (cuts if remaining[part] else removals).append((LONG_AGO, part, order))
-                remaining[part] += gain
-        return shrinking
+                (cuts if in_force[part] else removals).append((LONG_AGO, part, order))
+                in_force[part] += gain
+        # All cold servers of a part together: one of them alone would get the share of all.
+        for _, row in [each for each in gains if each[1][1] in empty]:
+            ordinary.remove(row)
+            removals.append((LONG_AGO, *row[1:]))
+        return short
+
+    def _gain(self, order: object, weights: list[float]) -> float:
+        """The weight that an order for a line or a withdrawal brings into force."""
+        if not isinstance(order, face.SetLine | face.Withdraw):
+            return 0.0
+        i = self.slot_of[order.server]
+        if isinstance(order, face.Withdraw):
+            return 0.0 if order.on else min(weights[i], self.line_weight[i])
+        return 0.0 if self.withdrawn[i] else order.weight - self.line_weight[i]
 
     def _assign_tables(self, messages: dict, ordinary_lines: float, round_answered: bool, selected: list) -> None:
         """Selects the tables of the proxies that should hold another part, the longest waiting proxy first."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -482,7 +482,8 @@
     world = large_fleet()
     world.run(10, report_all)
     brain, part = world.brain, world.held_table[0]
-    lines, out = brain._target_weights(), brain._target_withdrawals()
+    out = brain._target_withdrawals()
+    lines = brain._target_weights(out)
     brain.unanswered, brain.bearable_share[part] = {0: 1}, 0.1  # cold servers alone, while an answer is awaited
     brain._assign_parts(lines, out)
     assert 0 < list(brain.target_part.values()).count(part) <= 0.2 * len(world.held_table)  # of two zones
