Proxies leave a part of cold servers alone without waiting for answers

Cause: a move to another part is ordinary, so it waits until every proxy has answered. It stayed so when the part that the proxy still holds had lost its last warm server meanwhile; only proxies that were still meant for that part left at once.

Why this works: a change of part that leaves a part of cold servers alone is mandatory, like that of proxies beyond what such a part bears.

Measured: the new test fails without it.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -940,8 +940,9 @@
         for proxy in sorted(self.target_part, key=lambda proxy: self.waiting_since.get(proxy, self.now)):
             part = self.target_part[proxy]
             held = None if proxy in self.waiting_since else self.held_part[proxy]
-            # Any other change of part is mandatory.
+            # Any other change of part is mandatory, as is one that leaves a part of cold servers alone.
             is_move = held is not None and self.part_weight[held] and proxy not in self.displaced
+            is_move = is_move and self.bearable_share[held] == float("inf")
             if held == part or (is_move and not round_answered):
                 continue
             size = 1 + part_lines[part] + len(self.objectives) + self.message_overhead
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -3,7 +3,9 @@
 from random import Random
 
 from tests.cold_fleets import REDIAL_S, BrokenStreams, ColdFleet, random_restarts
+from tests.helpers import SimulatedFleet
 from tests.takeovers import server_id
+from tests.test_rules import report_all
 
 SERVERS, JOINED = 30, 80
 SETTINGS = (
@@ -51,3 +53,23 @@
         assert fleet.judge.worst.multiple <= fleet.facts.tip_multiple, (seed, fleet.judge.worst)
         assert fleet.max_waiting <= fleet.facts.queue_cap
         assert not fleet.late
+
+
+def test_proxies_leave_a_part_of_cold_servers_alone_without_waiting_for_answers():
+    """Guards against proxies that stay at cold servers, since their move was ordered while a warm one was there."""
+    world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
+    world.run(10, report_all)
+    brain, held = world.brain, world.held_table[0]
+    brain.target_part[0] = (held + 1) % len(brain.part_zone)
+    messages, selected = {}, []
+    brain._assign_tables(messages, brain.queue_cap, False, selected)
+    assert not selected  # an ordinary move
+    brain.bearable_share[held] = 0.1
+    brain._assign_tables(messages, brain.queue_cap, False, selected)
+    assert [(order.proxy, order.table) for order in selected] == [(0, brain.target_part[0])]
+
+
+def test_cold_servers_are_not_overloaded_by_a_sudden_crowd_of_proxies():
+    """Guards against a limit that follows a rise of all arrivals by three quarters only with the reports."""
+    fleet = play_restarts(124)
+    assert fleet.judge.worst.multiple <= fleet.facts.tip_multiple, fleet.judge.worst
