The log of each second says what is shut out and which share cold servers have

With these two figures (shut_out, cold_share) a part that is left to cold servers shows within a second.

--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -80,6 +80,16 @@
         if ops:
             self.orders.enqueue(ops)
 
+    def cold_share(self) -> float:
+        """The largest share of the weight in one part of the table that cold servers have by the orders sent so far."""
+        brain = self.brain
+        weight, cold_weight = Counter(), Counter()
+        for i, part in enumerate(brain.part):
+            in_force = 0.0 if brain.withdrawn[i] else brain.line_weight[i]
+            weight[part] += in_force
+            cold_weight[part] += 0.0 if brain.is_warm(i) else in_force
+        return max((cold_weight[part] / total for part, total in weight.items() if total), default=0.0)
+
     def lines_of_mark(self, mark: int | None) -> float:
         """Lines in the channel for the orders with this mark, as the module counts them."""
         return sum(lines for each, lines, _ in self.brain.channel if each == mark)
@@ -352,6 +362,8 @@
             listed=len(host.roster.entries),
             version=host.roster.version,
             out=sum(brain.withdrawn_at[i] is not None for i in ready),
+            shut_out=sum(brain.withdrawn),  # by the orders sent so far
+            cold_share=round(host.cold_share(), 3),
             cold=sum(not brain.is_warm(i) for i in ready),
             let_in=round(brain.admitted_share, 3),
             tries=brain.tries,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -571,3 +571,17 @@
     parts = {name.split(".")[1] for name in loaded if name.startswith("driftshed.")}
     assert "node" in parts
     assert not parts & {"coordination", "supervisor", "proxy", "roster", "trace", "lab", "day", "standins", "common"}
+
+
+def test_the_share_of_cold_servers_is_logged_by_what_was_ordered(platform):
+    platform.start(0, 1)
+    host = platform.service.host
+    assert host.cold_share() == 0.0
+    started_ms = round(1000 * time.time())
+    changes = roster_update(4, *(server_entry(number, started_ms=started_ms) for number in range(5)))
+    platform.lists[-1].write(chunk(changes))
+    platform.until(lambda: 0.0 < host.cold_share() < 1.0)
+    brain = host.brain
+    brain.withdrawn[brain.slot_of[b"s-5"]] = True  # the only warm one
+    assert host.cold_share() == 1.0
+    platform.until(lambda: any(event == "second" and "shut_out" in fields for event, fields in platform.logged))
