Only parts that proxies hold are restored urgently

With "a part is short by what is in force" the first lines of a part that nobody holds were sent as urgent ones, and the next urgent orders, here a drain, had to wait a third of a second though nothing was in the channel. Orders of a part that nobody holds never wait anyway.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -904,7 +904,7 @@
         for i, part in enumerate(self.part):
             in_force[part] += 0.0 if withdrawals[i] else self._weight_in_force(i, weights[i])
         needed = [weight * REMAINING_WEIGHT_THRESHOLD for weight in self.part_weight]
-        short = {part for part, weight in enumerate(in_force) if weight <= needed[part]}
+        short = {part for part in set(self.held_part.values()) if in_force[part] <= needed[part]}
         gains = [(self._gain(row[2], weights), row) for row in ordinary if row[1] in short]
         gains = sorted((each for each in gains if each[0] > 0), key=lambda each: -each[0])
         warm_gains = [(gain, row) for gain, row in gains if self.is_warm(self.slot_of[row[2].server])]
