One definition of the weight in force; dead check and needless copies are gone

What proxies can pick by the orders sent so far was spelt out in three places (the check before a withdrawal, the weight of a part, the log's cold_share); Brain.weight_in_force says it once. _gain had a check for orders that cannot come to it, and a list was copied to be read once.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -516,7 +516,7 @@
                 recent_withdrawals.popleft()
             others = (k for k in part_servers if k != i and self.withdrawn_at[k] is None and self.is_warm(k))
             # Guards against cold servers that are left alone: one that has been let in counts once that is in force.
-            warm_remains = any(self.line_weight[k] and not self.withdrawn[k] for k in others)
+            warm_remains = any(self.weight_in_force(k) for k in others)
             if (
                 out_count + 1 > min(MAX_WITHDRAWN, int(len(part_servers) * MAX_WITHDRAWN_SHARE))
                 or len(recent_withdrawals) >= WITHDRAWAL_BUDGET
@@ -689,17 +689,16 @@
                     cold_limit[i] = 1 - max(0.0, 1 - share) ** 0.5 if self.picks_of_two else share
             # Guards against overloading a cold server: whatever the demand, its share of all tries stays within what
             # it can bear, while warm servers do not fail. Harm: in a deep overload it is underused.
-            warm = [i for i in servers if i not in cold_limit and not withdrawals[i]]
-            warm_weight = sum(weights[i] for i in warm)
+            warm_weight = sum(weights[i] for i in servers if i not in cold_limit and not withdrawals[i])
             self.bearable_share[part] = float("inf") if warm_weight else self.bearable_share[part]
             if warm_weight and sum(cold_limit.values()) < 1:
                 for i, share in cold_limit.items():
                     weights[i] = min(weights[i], share * warm_weight / (1 - sum(cold_limit.values())))
         return weights
 
-    def _weight_in_force(self, i: int, target_weight: float) -> float:
-        """The weight with which proxies may pick a server now: at most that of its line, 0 while it is withdrawn."""
-        return 0.0 if self.withdrawn[i] else min(target_weight, self.line_weight[i])
+    def weight_in_force(self, i: int) -> float:
+        """The weight with which proxies may pick a server by the orders sent so far."""
+        return 0.0 if self.withdrawn[i] else self.line_weight[i]
 
     def _target_withdrawals(self) -> list[bool]:
         """Whether each server should be withdrawn now."""
@@ -902,7 +901,7 @@
         """
         in_force = [0.0] * len(self.part_zone)
         for i, part in enumerate(self.part):
-            in_force[part] += 0.0 if withdrawals[i] else self._weight_in_force(i, weights[i])
+            in_force[part] += 0.0 if withdrawals[i] else min(weights[i], self.weight_in_force(i))
         needed = [weight * REMAINING_WEIGHT_THRESHOLD for weight in self.part_weight]
         short = {part for part in set(self.held_part.values()) if in_force[part] <= needed[part]}
         gains = [(self._gain(row[2], weights), row) for row in ordinary if row[1] in short]
@@ -917,15 +916,14 @@
                 (cuts if in_force[part] else removals).append((LONG_AGO, part, order))
                 in_force[part] += gain
         # All cold servers of a part together: one of them alone would get the share of all.
-        for _, row in [each for each in gains if each[1][1] in empty]:
-            ordinary.remove(row)
-            removals.append((LONG_AGO, *row[1:]))
+        for _, row in gains:
+            if row[1] in empty:
+                ordinary.remove(row)
+                removals.append((LONG_AGO, *row[1:]))
         return short
 
-    def _gain(self, order: object, weights: list[float]) -> float:
-        """The weight that an order for a line or a withdrawal brings into force."""
-        if not isinstance(order, face.SetLine | face.Withdraw):
-            return 0.0
+    def _gain(self, order: face.SetLine | face.Withdraw, weights: list[float]) -> float:
+        """The weight that an order brings into force."""
         i = self.slot_of[order.server]
         if isinstance(order, face.Withdraw):
             return 0.0 if order.on else min(weights[i], self.line_weight[i])
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -85,9 +85,8 @@
         brain = self.brain
         weight, cold_weight = Counter(), Counter()
         for i, part in enumerate(brain.part):
-            in_force = 0.0 if brain.withdrawn[i] else brain.line_weight[i]
-            weight[part] += in_force
-            cold_weight[part] += 0.0 if brain.is_warm(i) else in_force
+            weight[part] += brain.weight_in_force(i)
+            cold_weight[part] += 0.0 if brain.is_warm(i) else brain.weight_in_force(i)
         return max((cold_weight[part] / total for part, total in weight.items() if total), default=0.0)
 
     def lines_of_mark(self, mark: int | None) -> float:
