The model of cold servers measures late drains, which it did not before

test_cold_servers_are_not_overloaded_while_orders_for_warm_ones_wait asserts that no drain is late, but the model never measured it: ColdFleet replaced _measure, and its changes of servers did not set when the supervisor was told. The assertion could not fail. Now the model lists servers by the code of TakeoverFleet and measures joined proxies; told_at ends when a server is ready again.

Written twice and now shared: the report interval of both models, and the relay's answers to marks (Platform.silent). The test of the real program ends it with Process.terminate, which also checks its exit and its log for faults.

--- a/tests/cold_fleets.py
+++ b/tests/cold_fleets.py
@@ -92,11 +92,9 @@
                 self.judge.rows[server].clear()
                 self.told_of_start_at.pop(server, None)
         else:
-            state = {"draining": face.DRAINING, "gone": face.GONE, "ready": face.READY}[what]
-            self.states |= dict.fromkeys(servers, state)
-            if state == face.READY:
+            if what == "ready":
                 self.told_of_start_at |= dict.fromkeys(servers, self.now)
-            self.events.append(face.Listing(2, face.DELTA, tuple(map(self.entry, servers))))
+            self._list({"draining": face.DRAINING, "gone": face.GONE, "ready": face.READY}[what], servers)
 
     def capacity_of(self, server: bytes) -> float:
         """Arrivals per second that a server can answer now."""
@@ -113,10 +111,7 @@
             arrivals |= {(server, proxy.number): weight / total for server, weight in lines.items()}
         return arrivals
 
-    def _report(self) -> None:
-        if self.now < self.next_report:
-            return
-        self.next_report += REPORT_INTERVAL_S
+    def _report_tries(self) -> None:
         by_zone, by_server = Counter(), Counter()
         for (server, number), rate in self.arrivals().items():
             by_zone[server, number % 2] += rate
@@ -129,7 +124,11 @@
                 latency = BASE_LATENCY_S / (1 - min(MAX_UTILISATION, utilisation)) if errored < tries else None
                 self.events.append(face.Heard(errored, server, tries, REPORT_INTERVAL_S, zone, latency, None))
 
+    def joined(self) -> list[Proxy]:
+        return [proxy for proxy in self.proxies.values() if proxy.number not in self.broken]
+
     def _measure(self) -> None:
+        super()._measure()
         work, informed = Counter(), Counter()
         for (server, number), rate in self.arrivals().items():
             work[server] += rate
@@ -169,7 +168,7 @@
     def __call__(self, fleet: ColdFleet) -> None:
         while self.per_second and self.next_at <= fleet.now:
             self.next_at += self.random.expovariate(self.per_second)
-            proxy = self.random.choice([p for p in fleet.proxies.values() if p.number not in fleet.broken])
+            proxy = self.random.choice(fleet.joined())
             fleet.break_stream(proxy)
             left_at = fleet.now + self.random.uniform(*NOTICE_S)
             self.coming.append((left_at, "left", proxy.number))
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -90,7 +90,8 @@
 
     def __init__(self, serve: bool = True, **more) -> None:
         self.loop, self.logged, self.call_faults = Loop(), [], []
-        self.answers_marks = True  # at once and for every proxy
+        self.answers_marks = True  # at once and for every proxy but the silent ones
+        self.silent: set[int] = set()
         self.pings_after_initial = True  # right after the joined proxies, on each new connection
         self.applied: list[list[dict]] = []
         self.proxies: dict[int, bool] = {}  # joined proxies; True: it holds no table that was ordered
@@ -135,7 +136,7 @@
             if fault in ("answered and closed", "cut"):
                 self.loop.after(0.0, stream.finish)
             marks = [op["ticket"] for op in ops if op["do"] == "fence"]
-            for proxy in self.proxies:
+            for proxy in [each for each in self.proxies if each not in self.silent]:
                 self.notify_all("ACK", id=proxy, seq=marks[0], ms=1.0) if marks and self.answers_marks else None
 
     def notify(self, stream, method: str, **params) -> None:
--- a/tests/takeovers.py
+++ b/tests/takeovers.py
@@ -66,14 +66,22 @@
 
     def list_servers(self, state: int, servers: list[bytes]) -> None:
         """The supervisor is told a new state of some servers; a ready one has started just before."""
+        if state == face.READY:
+            self.started |= dict.fromkeys(servers, self.now - 0.7)
+        self._list(state, servers)
+
+    def _list(self, state: int, servers: list[bytes]) -> None:
         for server in servers:
             self.states[server] = state
             if state == face.READY:
-                self.started[server] = self.now - 0.7
+                self.told_at.pop(server, None)
             else:
                 self.told_at.setdefault(server, self.now)
         self.events.append(face.Listing(2, face.DELTA, tuple(map(self.entry, servers))))
 
+    def joined(self) -> list[Proxy]:
+        return list(self.proxies.values())
+
     def foreign_table(self, zone: int, size: int) -> set[bytes]:
         """The lines of another supervisor's table: servers of a zone that are ready by now."""
         ready = [server for server, state in self.states.items() if state == face.READY]
@@ -97,6 +105,9 @@
         if self.now < self.next_report:
             return
         self.next_report += REPORT_INTERVAL_S
+        self._report_tries()
+
+    def _report_tries(self) -> None:
         met = Counter()
         for proxy in self.proxies.values():
             met.update((server, proxy.number % 2) for server in proxy.usable())
@@ -166,7 +177,7 @@
             (proxy.withdrawn.add if fields[0].on else proxy.withdrawn.discard)(fields[0].server)
 
     def _measure(self) -> None:
-        for proxy in self.proxies.values():
+        for proxy in self.joined():
             for server in proxy.usable():
                 if server in self.told_at and self.states[server] != face.READY:
                     over = self.now - max(self.told_at[server], proxy.joined_at) - self.facts.drain_grace
--- a/tests/test_cold_servers_process.py
+++ b/tests/test_cold_servers_process.py
@@ -6,6 +6,7 @@
 
 from driftshed.adapter.facts import read_facts
 from driftshed.net.stream import dial
+from driftshed.node.config import parse_address
 from driftshed.node.resp import encode_message
 from tests.cold_fleets import ColdServerJudge
 from tests.helpers import FACTS
@@ -25,28 +26,15 @@
 
     def __init__(self, folder) -> None:
         super().__init__(serve=False)
-        self.answers_marks = False  # here, by `answering`
-        self.answering = set(range(PROXIES))
         self.program = Process(folder, self, known=roster_update(3, *map(server_entry, range(3)), full=True))
         self.program.start()
         self.until(lambda: len(self.watches) >= 2 and self.lists)
-        self.collector = dial(self.loop, (self.program.document["listen"].rpartition(":")[0], self.port))
+        self.collector = dial(self.loop, parse_address(self.program.document["listen"], "listen"))
         self.collector.write(encode_message("SOURCE", "site", "east"))
         self.cold_since: float | None = None
         self.judge: ColdServerJudge | None = None
         self.loop.after(0.0, self._report)
 
-    @property
-    def port(self) -> int:
-        return int(self.program.document["listen"].rpartition(":")[2])
-
-    def _call(self, stream, call: dict) -> None:
-        super()._call(stream, call)
-        for op in call.get("params", {}).get("ops", ()):
-            if op["do"] == "fence":
-                for proxy in self.answering:
-                    self.notify_all("ACK", id=proxy, seq=op["ticket"], ms=1.0)
-
     def _report(self) -> None:
         """All tries at the first server fail, and none at the others."""
         for number in range(3):
@@ -55,9 +43,6 @@
             self.collector.write(encode_message("LOAD", *(each for pair in fields.items() for each in pair)))
         self.loop.after(REPORT_INTERVAL_S, self._report)
 
-    def withdrawn_now(self) -> set[str]:
-        return self.applied_state()[2]
-
     def tell(self, version: int, *servers: dict) -> None:
         for stream in self.lists:
             if stream.sock:
@@ -90,8 +75,7 @@
 def fleet(tmp_path):
     fleet = RealFleet(tmp_path)
     yield fleet
-    fleet.program.process.kill()
-    fleet.program.process.communicate()
+    fleet.program.terminate()
     fleet.collector.abort("over")
     fleet.close()
 
@@ -101,9 +85,9 @@
     fleet.join(*range(PROXIES))
     fleet.until(lambda: set(fleet.applied_state()[1]) == set(range(PROXIES)))
     fleet.judge = ColdServerJudge(read_facts(FACTS))
-    fleet.until(lambda: fleet.withdrawn_now() == {f"s-{SICK}"})
+    fleet.until(lambda: fleet.applied_state()[2] == {f"s-{SICK}"})
     fleet.judge_for(WITHDRAWAL_S - 0.5)
-    fleet.answering.discard(0)
+    fleet.silent.add(0)
     fleet.cold_since = fleet.loop.clock() - 0.7
     fleet.tell(4, server_entry(COLD, started_ms=round(1000 * (time.time() - 0.7))))
     fleet.judge_for(0.9)
