Failing test: a restarted server's cut waits while other orders reach its holders

From the first message that is sent to a proxy with knowledge of a start, the supervisor answers for what the proxy sends to that server (rule on cold servers). A server that crashes unlisted and returns under its id still has its full line then.

The test plays the real program over loopback: a drain, then a list with a restarted server and a new one. The new line reaches the proxies at once, the cut up to 0.33 s later.

New: stand-ins for the platform (driftshed/standins/platform): three supervisors, 240 proxies, 30 servers of two speeds that drain, crash unlisted and return cold, broken streams, crowds, supervisors that are killed, a SIGHUP at 24.5 s; every send is judged at the servers. The same play runs against processes and in virtual time.

--- /dev/null
+++ b/driftshed/standins/platform/fleet.py
@@ -0,0 +1,485 @@
+"""A fleet on the platform: supervisors, proxies and servers with seeded troubles, and the judge of the rules.
+
+The supervisors are reached through ports, so that the same play runs against real processes and in virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from itertools import accumulate
+from random import Random
+from typing import NamedTuple, Protocol
+
+from driftshed import interface as face
+from driftshed.core.sums import Sums
+from driftshed.net.loop import Timers
+from driftshed.standins.platform.discovery import Agent, listed_entry
+from driftshed.standins.platform.proxies import UNLIMITED, FleetProxy, Request
+from driftshed.standins.platform.relay import RelayState
+from driftshed.standins.platform.servers import ColdLoad, ColdLoadJudge, FleetServer, Outcome
+
+SUPERVISORS, PROXIES, SERVERS = 3, 240, 30
+STANDING_LINES = 5
+KIND_SPEEDS = ((0.85, 1.1), (0.51, 0.69))  # of the two kinds of servers, before each machine's own deviation
+SLOWEST = 0.5  # of the usual speed of its kind
+MEAN_WORK_S = (0.0875, 0.058)  # of a request, by operation
+WORK_DEVIATION = 0.6  # of the logarithm of a request's work
+OPERATION_SHARES = (0.8, 0.2)
+CLIENT_BACKOFF_S = (0.015, 0.12)
+LIST_PERIOD_S, LIST_SPREAD_S = 0.48, (0.05, 0.39)  # between changes of the list, and until an agent has one
+START_LISTED_S = (0.2, 2.4)  # from a start until it can be listed
+DRAINS_FOR_S, AWAY_FOR_S, CRASHED_FOR_S = 9.1, 0.95, (0.5, 1.5)
+Span = tuple[float, float]  # seconds, to draw from
+SILENCE_SPREAD_S = 0.5  # between proxies that notice the same silence
+NOTICED_CRASH_S = (0.0, 0.05)  # until the end of a stream whose other side has crashed is noticed
+NOTICE_S, REDIAL_S = (0.31, 1.9), (0.33, 2.4)  # until a broken stream is noticed, and until the proxy joins again
+FIRST_BREAK_AT_S, FIRST_RESTART_AT_S = 3.0, 3.3
+RELOAD_AT_S = 24.5
+RULE_SLACK_S = 0.3  # by which the rules' time limits are longer on sockets
+RULES_BEGIN_S = 1.0  # after the start of a supervisor
+SAMPLE_INTERVAL_S = 0.1
+TRACED_SHARE = 2 / 3  # of the tip multiple: a cold server's load is traced above it
+
+
+class Plan(NamedTuple):
+    """What a seed draws of a play. Times are seconds since its start."""
+
+    load: float  # requests' work over the capacity of all servers
+    restart_interval: float
+    crash_share: float  # of the restarts
+    broken_per_second: float  # streams
+    first_break: int  # streams of one supervisor that break at FIRST_BREAK_AT_S
+    crowd_at: float
+    crowd: int  # proxies of one supervisor that lose their streams then
+    cut_off_at: float | None  # when all streams of one supervisor go silent
+    silent_for: float  # until its proxies notice
+    proxies_restarted: int  # proxies of all supervisors that crash at `crowd_at` and restart
+    supervisor_restart_at: float | None
+    supervisor_away: float  # seconds
+    sick: int  # servers that err
+    client_repeats: int
+
+
+def draw_plan(seed: int) -> Plan:
+    """The plan of a seed."""
+    random = Random(f"plan {seed}")
+    return Plan(
+        load=random.choice([random.uniform(0.52, 0.8), random.uniform(0.8, 1.2)]),
+        restart_interval=random.choice([2.4, 3.5, 4.3, 4.8]),
+        crash_share=random.choice([0.25, 0.25, 0.5]),
+        broken_per_second=random.uniform(1.0, 4.0),
+        first_break=random.choice([0, 20, 34]),
+        crowd_at=random.uniform(6.0, 42.0),
+        crowd=random.choice([0, 40, 70]),
+        cut_off_at=random.choice([None, random.uniform(6.0, 30.0)]),
+        silent_for=random.uniform(4.3, 14.0),
+        proxies_restarted=random.choice([0, 0, 60, 160]),
+        supervisor_restart_at=random.choice([None, random.uniform(8.0, 40.0)]),
+        supervisor_away=random.uniform(1.0, 8.0),
+        sick=random.choice([0, 0, 2, 3]),
+        client_repeats=random.choice([0, 1]),
+    )
+
+
+class Break(NamedTuple):
+    """A broken rule."""
+
+    rule: str
+    at: float
+    text: str
+
+
+class SupervisorPort(Protocol):
+    """A supervisor as the fleet reaches it."""
+
+    def notify(self, method: str, params: dict) -> None:
+        """Passes on a notification of its relay."""
+
+    def list_changed(self, document: dict) -> None:
+        """Passes on a change of the list."""
+
+    def report(self, events: list) -> None:
+        """Passes on reports: Heard and Demand events."""
+
+    def reload(self) -> None:
+        """Gives it a configuration with other addresses."""
+
+    def kill(self) -> None:
+        """Ends it at once."""
+
+    def revive(self) -> None:
+        """Starts it from nothing, with the list that it had."""
+
+
+class Seat:
+    """What belongs to one supervisor: its relay, its agent, its reports, and the port to it."""
+
+    def __init__(
+        self, number: int, timers: Timers, facts: face.StartFacts, entries: list[dict], random: Random
+    ) -> None:
+        self.number = number
+        self.relay, self.agent = RelayState(timers, facts, random), Agent(entries)
+        self.relay.listed = {entry["id"] for entry in entries}
+        self.relay.told_ready_at = self.agent.told_ready_at
+        self.sums = Sums(facts.report_lines_per_second)
+        self.port: SupervisorPort | None = None
+        self.alive, self.started_at = True, 0.0
+
+    def connect(self, port: SupervisorPort) -> None:
+        """Connects the port."""
+        self.port = port
+        self.relay.on_notification, self.agent.on_change = port.notify, port.list_changed
+
+
+class Fleet:
+    """Plays the troubles of a seed. `timers.clock()` is 0 at the start of the play; times are seconds."""
+
+    def __init__(self, timers: Timers, facts: face.StartFacts, seed: int, unix_offset: float) -> None:
+        """`unix_offset` is added to the clock to get unix times."""
+        self.timers, self.facts, self.seed, self.unix_offset = timers, facts, seed, unix_offset
+        self.plan, self.random = draw_plan(seed), Random(f"fleet {seed}")
+        self.mean_work = sum(w * share for w, share in zip(MEAN_WORK_S, OPERATION_SHARES, strict=True))
+        self.servers = self._make_servers()
+        entries = [listed_entry(server, face.READY, unix_offset) for server in self.servers.values()]
+        self.seats = [Seat(k, timers, facts, entries, Random(f"relay {seed} {k}")) for k in range(SUPERVISORS)]
+        total_capacity = sum(server.capacity(0.0) for server in self.servers.values())
+        self.request_rate = self.plan.load * total_capacity / self.mean_work
+        self.proxies = self._make_proxies()
+        self.list_queue: list[tuple[float, FleetServer, int]] = []
+        self.busy_until: dict[str, float] = dict.fromkeys(self.servers, 0.0)
+        self.worst = ColdLoad(0.0, "", 0.0, 0.0)  # of informed work, by the tries
+        self.worst_expected = ColdLoad(0.0, "", 0.0, 0.0)  # the same by the tables that proxies hold
+        self.expected: dict[str, deque] = {name: deque() for name in self.servers}
+        self.longest_unbound = (0.0, 0, 0.0)  # seconds that a joined proxy had no table, its number, and when
+        self.breaks: list[Break] = []
+        self.outcomes: Counter[str] = Counter()
+        self.trace: list[str] = []
+
+    def _make_servers(self) -> dict[str, FleetServer]:
+        servers = {}
+        for number in range(SERVERS):
+            kind = number // 2 % 2
+            speed = self.random.uniform(*KIND_SPEEDS[kind]) * max(SLOWEST, self.random.gauss(1.0, 0.2))
+            server = FleetServer(self.timers, self.facts, f"s-{number:08x}", number % 2, kind, speed)
+            server.judge = ColdLoadJudge(self.facts, self.mean_work)
+            server.on_overload = lambda load, server=server: self._judge_load(server, load)
+            servers[server.name] = server
+        return servers
+
+    def _make_proxies(self) -> list[FleetProxy]:
+        proxies = []
+        for number in range(PROXIES):
+            share = self.random.uniform(0.5, 1.5) / PROXIES
+            proxy = FleetProxy(
+                self.timers, self.facts, number, share * self.request_rate, Random(f"proxy {self.seed} {number}")
+            )
+            proxy.servers, proxy.supervisor = self.servers, number * SUPERVISORS // PROXIES
+            near = [server.name for server in self.servers.values() if server.zone == proxy.zone]
+            proxy.lines = dict.fromkeys(self.random.sample(near, STANDING_LINES), 1.0)
+            proxy.on_try, proxy.on_outcome, proxy.on_request = self._judge_try, self._count_try, self._end_request
+            proxies.append(proxy)
+        return proxies
+
+    # ---- the play ---------------------------------------------------------------------------------------------
+
+    def begin(self) -> None:
+        """Schedules all that happens."""
+        for proxy in self.proxies:
+            self.timers.after(self.random.uniform(0.0, 0.4), lambda proxy=proxy: self.join(proxy))
+        self.next_request_at, self.rate_sums = self.timers.clock(), list(accumulate(each.rate for each in self.proxies))
+        self._request_later()
+        self.timers.after(LIST_PERIOD_S, self._publish)
+        self.timers.after(self.facts.report_period, self._report)
+        self.timers.after(SAMPLE_INTERVAL_S, self._sample)
+        self.timers.at(FIRST_BREAK_AT_S, lambda: self._break_streams(self._joined_at(0), self.plan.first_break))
+        self.timers.at(FIRST_RESTART_AT_S, self._restart_next)
+        self.timers.at(FIRST_BREAK_AT_S, self._break_next_stream)
+        crowd_seat = self.random.randrange(SUPERVISORS)
+        self.timers.at(
+            self.plan.crowd_at, lambda: self._break_streams(self._joined_at(crowd_seat), self.plan.crowd, crowd_seat)
+        )
+        self.timers.at(self.plan.crowd_at, self._restart_proxies)
+        if self.plan.cut_off_at is not None:
+            self.timers.at(self.plan.cut_off_at, lambda: self._cut_off(self.random.randrange(SUPERVISORS)))
+        self.timers.at(RELOAD_AT_S, self._reload)
+        if self.plan.supervisor_restart_at is not None:
+            seat = self.random.choice(self.seats)
+            self.timers.at(self.plan.supervisor_restart_at, lambda: self._kill(seat))
+        for name in self.random.sample(sorted(self.servers), self.plan.sick):
+            sick_at = self.random.uniform(5.0, 30.0)
+            share = self.random.uniform(0.3, 0.8)
+            self.timers.at(sick_at, lambda name=name, share=share: setattr(self.servers[name], "error_share", share))
+            self.timers.at(sick_at + 15.0, lambda name=name: setattr(self.servers[name], "error_share", 0.0))
+
+    def _reload(self) -> None:
+        for seat in self.seats:
+            if seat.alive:
+                seat.port.reload()
+
+    def _kill(self, seat: Seat) -> None:
+        seat.alive = False
+        seat.port.kill()
+        self._break_streams(self._joined_at(seat.number), PROXIES, seat.number, NOTICED_CRASH_S)
+        seat.relay.forget_supervisor()
+        self.timers.after(self.plan.supervisor_away, lambda: self._revive(seat))
+
+    def _revive(self, seat: Seat) -> None:
+        seat.alive = True
+        seat.started_at = self.timers.clock()
+        seat.port.revive()
+
+    def _request_later(self) -> None:
+        # By the time that it was due, so that a late call does not thin out the requests.
+        self.next_request_at += self.random.expovariate(self.request_rate)
+        self.timers.at(self.next_request_at, self._request)
+
+    def _request(self) -> None:
+        self._request_later()
+        proxy = self.random.choices(self.proxies, cum_weights=self.rate_sums)[0]
+        operation = self.random.choices(range(len(OPERATION_SHARES)), OPERATION_SHARES)[0]
+        deadline = self.facts.operations[operation].integration_timeout
+        mean_log = -(WORK_DEVIATION**2) / 2
+        work = MEAN_WORK_S[operation] * self.random.lognormvariate(mean_log, WORK_DEVIATION)
+        request = Request(operation, work, self.timers.clock() + deadline, self.plan.client_repeats)
+        self._handle(proxy, request)
+
+    def _handle(self, proxy: FleetProxy, request: Request) -> None:
+        if proxy.joined:
+            seat = self.seats[proxy.supervisor]
+            seat.sums.add_demand(self.timers.clock(), proxy.number, request.operation, 1, 0)
+        proxy.handle(request)
+
+    # ---- servers ----------------------------------------------------------------------------------------------
+
+    def _restart_next(self) -> None:
+        now = self.timers.clock()
+        self.timers.after(self.random.uniform(0.6, 1.4) * self.plan.restart_interval, self._restart_next)
+        free = [name for name in self.servers if self.busy_until[name] <= now]
+        crashes = self.random.random() < self.plan.crash_share
+        away_for = self.random.uniform(*CRASHED_FOR_S) if crashes else AWAY_FOR_S
+        listed_after = self.random.uniform(*START_LISTED_S)
+        for name in self.random.sample(free, 2):
+            self._restart(self.servers[name], 0.0 if crashes else DRAINS_FOR_S, away_for, listed_after)
+
+    def _restart(self, server: FleetServer, drains_for: float, away_for: float, listed_after: float) -> None:
+        now = self.timers.clock()
+        starts_at = now + drains_for + away_for
+        self.busy_until[server.name] = starts_at + listed_after + LIST_PERIOD_S
+        if drains_for:
+            self._list_later(now, server, face.DRAINING)
+            self._list_later(now + drains_for, server, face.GONE)
+        self._list_later(starts_at + (0.0 if drains_for else listed_after), server, face.READY)
+        self.timers.at(now + drains_for, server.end)
+        self.timers.at(starts_at, lambda: self._start(server))
+
+    def _start(self, server: FleetServer) -> None:
+        server.start()
+        self.expected[server.name].clear()
+
+    def _list_later(self, at: float, server: FleetServer, state: int) -> None:
+        self.list_queue.append((at, server, state))
+
+    def _publish(self) -> None:
+        """Publishes what has changed; each agent gets it a little later, and all in order."""
+        now = self.timers.clock()
+        self.timers.after(LIST_PERIOD_S, self._publish)
+        due = [row for row in self.list_queue if row[0] <= now]
+        self.list_queue = [row for row in self.list_queue if row[0] > now]
+        if not due:
+            return
+        last = {server.name: (server, state) for _, server, state in due}
+        entries = [listed_entry(server, state, self.unix_offset) for server, state in last.values()]
+        for seat in self.seats:
+            self.timers.after(
+                self.random.uniform(*LIST_SPREAD_S),
+                lambda seat=seat: seat.agent.tell(self.timers.clock(), entries),
+            )
+
+    # ---- streams ----------------------------------------------------------------------------------------------
+
+    def join(self, proxy: FleetProxy) -> None:
+        """A proxy joins its supervisor."""
+        proxy.joined, proxy.joined_at = True, self.timers.clock()
+        proxy.empty_since = None
+        proxy.stream += 1
+        self.seats[proxy.supervisor].relay.open_stream(proxy)
+
+    def _joined_at(self, seat: int) -> list[FleetProxy]:
+        return [proxy for proxy in self.proxies if proxy.joined and proxy.supervisor == seat]
+
+    def _break_next_stream(self) -> None:
+        self.timers.after(self.random.expovariate(self.plan.broken_per_second), self._break_next_stream)
+        self._break_streams([proxy for proxy in self.proxies if proxy.joined], 1)
+
+    def _break_streams(
+        self, proxies: list[FleetProxy], count: int, avoided_seat: int | None = None, notice: Span = NOTICE_S
+    ) -> None:
+        for proxy in self.random.sample(proxies, min(count, len(proxies))):
+            self._break_stream(proxy, avoided_seat, notice)
+
+    def _break_stream(self, proxy: FleetProxy, avoided_seat: int | None, notice: Span) -> None:
+        """A stream breaks unseen; the proxy joins again later, at any supervisor but the one to avoid."""
+        proxy.joined = False
+        left_after = self.random.uniform(*notice)
+        relay = self.seats[proxy.supervisor].relay
+
+        def rejoin() -> None:
+            others = [seat.number for seat in self.seats if seat.alive and seat.number != avoided_seat]
+            proxy.supervisor = self.random.choice(others)
+            self.join(proxy)
+
+        self.timers.after(left_after, lambda: relay.close_stream(proxy))
+        self.timers.after(left_after + self.random.uniform(*REDIAL_S), rejoin)
+
+    def _cut_off(self, seat: int) -> None:
+        """The proxies of a supervisor hear no more of it, notice that much later, and join others."""
+        silent_for = self.plan.silent_for
+        self._break_streams(self._joined_at(seat), PROXIES, seat, (silent_for, silent_for + SILENCE_SPREAD_S))
+
+    def _restart_proxies(self) -> None:
+        """Proxies crash and restart with a standing table, drawn from the list."""
+        proxies = [proxy for proxy in self.proxies if proxy.joined]
+        crashed = self.random.sample(proxies, min(self.plan.proxies_restarted, len(proxies)))
+        for proxy in crashed:
+            self._break_stream(proxy, None, NOTICED_CRASH_S)
+            entries = self.seats[0].agent.entries.values()
+            zone = self.facts.zones[proxy.zone]
+            near = [entry["id"] for entry in entries if entry["zone"] == zone and entry["state"] == "up"]
+            proxy.restart(dict.fromkeys(self.random.sample(near, STANDING_LINES), 1.0))
+
+    # ---- reports ----------------------------------------------------------------------------------------------
+
+    def _report(self) -> None:
+        now, period = self.timers.clock(), self.facts.report_period
+        self.timers.after(period, self._report)
+        for seat in self.seats:
+            seat.port.report(seat.sums.release_events(now, period))
+
+    def _count_try(self, proxy: FleetProxy, server: FleetServer, outcome: Outcome) -> None:
+        if proxy.joined:
+            sums, now = self.seats[proxy.supervisor].sums, self.timers.clock()
+            latency = outcome.seconds if outcome.answered else None
+            load = (float(server.in_flight),)
+            sums.add_server_report(now, proxy.zone, server.name.encode(), 1, not outcome.answered, latency, load)
+        self.outcomes["tries answered" if outcome.answered else "tries failed"] += 1
+
+    def _end_request(self, proxy: FleetProxy, request: Request, answered: bool) -> None:
+        """Counts a request; after a failure its client may repeat it."""
+        backoff = self.random.uniform(*CLIENT_BACKOFF_S)
+        if answered or not request.repeats or self.timers.clock() + backoff >= request.deadline:
+            self.outcomes["answered" if answered else "failed"] += 1
+            return
+        repeat = request._replace(repeats=request.repeats - 1)
+        self.timers.after(backoff, lambda: self._handle(proxy, repeat))
+
+    # ---- the rules --------------------------------------------------------------------------------------------
+
+    def informed(self, proxy: FleetProxy, server: FleetServer) -> bool:
+        """Whether a supervisor answers for what a proxy sends to a cold server."""
+        told_at = self.seats[proxy.message_supervisor].agent.told_ready_at.get(server.name)
+        if told_at is not None and proxy.message_sent_at >= told_at >= server.started_at:
+            return True
+        seat = self.seats[proxy.supervisor]
+        told_at = seat.agent.told_ready_at.get(server.name)
+        if not proxy.joined or told_at is None or told_at < server.started_at:
+            return False
+        known_at = max(told_at, seat.started_at + RULES_BEGIN_S)
+        return self.timers.clock() >= known_at + self.facts.drain_grace + RULE_SLACK_S
+
+    def _judge_try(self, proxy: FleetProxy, server: FleetServer) -> bool:
+        now = self.timers.clock()
+        told_at = self.seats[proxy.supervisor].agent.told_leaving_at.get(server.name)
+        if proxy.joined and told_at is not None:
+            began_at = max(told_at, proxy.joined_at, self.seats[proxy.supervisor].started_at + RULES_BEGIN_S)
+            late = now - began_at - self.facts.drain_grace - RULE_SLACK_S
+            if late > 0:
+                text = f"proxy {proxy.number} at {proxy.supervisor} sent to {server.name} {late:.2f} s late"
+                self.breaks.append(Break("drains", now, text))
+        return server.started_at is not None and self.informed(proxy, server)
+
+    def _judge_load(self, server: FleetServer, load: ColdLoad) -> None:
+        if load.informed_share < 2 / 3:
+            return
+        if load.multiple > self.worst.multiple:
+            self.worst = load
+        if server.judge.is_over(server.capacity(load.at)):
+            self.breaks.append(Break("overload", load.at, f"{load}; {self.describe(server)}"))
+
+    def _sample(self) -> None:
+        """Judges the load that proxies bring by the tables that they hold, and proxies without a server."""
+        now = self.timers.clock()
+        self.timers.after(SAMPLE_INTERVAL_S, self._sample)
+        work, informed = Counter(), Counter()
+        for proxy in self.proxies:
+            lines = proxy.usable()
+            self._judge_empty(proxy, lines, now)
+            if proxy.joined and proxy.number not in self.seats[proxy.supervisor].relay.bound:
+                self.longest_unbound = max(self.longest_unbound, (now - proxy.joined_at, proxy.number, now))
+            total = sum(lines.values())
+            level = proxy.levels.get(self.facts.operations[0].name, UNLIMITED)[0]
+            for name, weight in lines.items():
+                server = self.servers[name]
+                if server.started_at is not None:
+                    rate = proxy.rate * self.mean_work * min(1.0, level) * weight / total
+                    work[name] += rate
+                    informed[name] += rate * self.informed(proxy, server)
+        for name, rate in work.items():
+            server, rows = self.servers[name], self.expected[name]
+            if not server.running or now > server.started_at + self.facts.warm_within:
+                continue
+            rows.append((now, rate, informed[name]))
+            while rows[0][0] <= now - self.facts.tip_span:
+                rows.popleft()
+            total, known = sum(row[1] for row in rows), sum(row[2] for row in rows)
+            multiple = total * SAMPLE_INTERVAL_S / (self.facts.tip_span * server.capacity(now))
+            if multiple > self.worst_expected.multiple and known >= 2 / 3 * total:
+                self.worst_expected = ColdLoad(multiple, name, now, known / total)
+                if multiple > TRACED_SHARE * self.facts.tip_multiple:
+                    self.trace.append(f"{now:.2f} expected {multiple:.2f}: {self.describe(server)}")
+
+    def _judge_empty(self, proxy: FleetProxy, lines: dict, now: float) -> None:
+        if lines or not proxy.joined:
+            proxy.empty_since = None
+            return
+        proxy.empty_since = now if proxy.empty_since is None else proxy.empty_since
+        agent = self.seats[proxy.supervisor].agent
+        warm = any(
+            name in agent.entries and name not in agent.told_leaving_at and server.warmth(now) >= 1.0
+            for name, server in self.servers.items()
+        )
+        if warm and now > proxy.empty_since + self.facts.bare_for + RULE_SLACK_S:
+            self.breaks.append(Break("no server", now, f"proxy {proxy.number} at {proxy.supervisor}"))
+            proxy.empty_since = now
+
+    def describe(self, server: FleetServer) -> str:
+        """Who holds a line to a server, for the record of a break."""
+        now = self.timers.clock()
+        rows = []
+        for seat in self.seats:
+            told_at = seat.agent.told_ready_at.get(server.name)
+            holders = [p for p in self.proxies if p.supervisor == seat.number and server.name in p.usable()]
+            shares = [p.lines[server.name] / sum(p.usable().values()) for p in holders]
+            rate = sum(share * p.rate for share, p in zip(shares, holders, strict=True)) * self.mean_work
+            informed = sum(self.informed(p, server) for p in holders)
+            unbound = sum(p.number not in seat.relay.bound for p in holders)
+            lines = [
+                f"{group}:{table.lines[server.name]:.3f}/{sum(table.lines.values()):.2f}"
+                for group, table in seat.relay.tables.items()
+                if server.name in table.lines
+            ]
+            told = "not told" if told_at is None else f"told {now - told_at:.2f} s ago"
+            rows.append(
+                f"n{seat.number} {told}, {len(holders)} hold it ({informed} informed, {unbound} unbound) "
+                f"rate {rate:.3f} of {server.capacity(now):.3f}, table {' '.join(lines) or 'none'}"
+                f"{', withdrawn' if server.name in seat.relay.withdrawn else ''}"
+            )
+        age = now - server.started_at
+        return f"{server.name} kind {server.kind} speed {server.speed:.2f} age {age:.2f}: " + "; ".join(rows)
+
+    def check_caps(self) -> None:
+        """Judges the channels at the end."""
+        for seat in self.seats:
+            if seat.relay.most_waiting > self.facts.queue_cap:
+                self.breaks.append(Break("channel", 0.0, f"n{seat.number}: {seat.relay.most_waiting:.0f} lines waited"))
+            for at, server, late in seat.relay.missing_cuts:
+                text = f"n{seat.number} wrote to holders of {server} {late:.2f} s after it was told, without a cut"
+                self.breaks.append(Break("cut", at, text))
--- /dev/null
+++ b/driftshed/standins/platform/virtual.py
@@ -0,0 +1,111 @@
+"""Supervisors in virtual time: the host of the decisions module with its queue of orders, without sockets."""
+
+from __future__ import annotations
+
+import msgspec
+
+from driftshed import interface as face
+from driftshed.lab.virtual import Seat as VirtualSeat
+from driftshed.lab.virtual import VirtualLoop
+from driftshed.net.loop import Timers
+from driftshed.node.config import SupervisorOptions
+from driftshed.node.service import SupervisorHost
+from driftshed.standins.platform.fleet import Fleet, Seat
+
+CALL_S = 0.002  # from a call to the relay to its answer
+
+
+class VirtualSupervisor:
+    """A supervisor of a play in virtual time."""
+
+    def __init__(self, timers: Timers, options: SupervisorOptions, seat: Seat, unix_offset: float) -> None:
+        """Starts with the list of its agent."""
+        self.timers, self.options, self.seat, self.unix_offset = timers, options, seat, unix_offset
+        self.host: SupervisorHost | None = None
+        self.revive()
+
+    def revive(self) -> None:
+        """Starts from nothing."""
+        now = self.timers.clock()
+        self.options = self.options._replace(seed=self.options.seed + 1000)
+        self.host = SupervisorHost(self.options, now, now + self.unix_offset)
+        self.host.on_fault = self._raise
+        self.host.orders.connection_opened()
+        self.host.add_events(self.host.roster.apply(self.seat.agent.full_list(), face.CACHED))
+        for proxy in self.seat.relay.proxies.values():
+            self.notify("SUBSCRIBE", self.seat.relay.subscription(proxy))
+        self.due_at = float("inf")
+        self._turn()
+
+    def kill(self) -> None:
+        """Ends at once."""
+        self.host = None
+
+    def _raise(self, fault: object) -> None:
+        raise RuntimeError(repr(fault)[:2000])
+
+    def notify(self, method: str, params: dict) -> None:
+        """Passes on a notification of the relay."""
+        if self.host is None:
+            return
+        event = self.host.codec.decode_notification(method, msgspec.Raw(msgspec.json.encode(params)))
+        if isinstance(event, face.Joined):
+            self.host.join_state.joined[event.proxy] = event
+        elif isinstance(event, face.Left):
+            self.host.join_state.joined.pop(event.proxy, None)
+        self._add([event])
+
+    def list_changed(self, document: dict) -> None:
+        """Passes on a change of the list."""
+        if self.host is not None:
+            self._add(self.host.roster.apply(document))
+
+    def report(self, events: list) -> None:
+        """Passes on reports."""
+        if self.host is not None:
+            self._add(events)
+
+    def reload(self) -> None:
+        """Changes nothing: there are no addresses."""
+
+    def _add(self, events: list) -> None:
+        self.host.add_events(events)
+        self._schedule(self.timers.clock())
+
+    def _schedule(self, at: float) -> None:
+        if at < self.due_at:
+            self.due_at = at
+            self.timers.at(at, lambda: self._turn() if self.due_at == at else None)
+
+    def _turn(self) -> None:
+        if self.host is None:
+            return
+        now = self.timers.clock()
+        self.due_at = float("inf")
+        self.host.run_turn(now)
+        call = self.host.next_call(now)
+        if call is not None:
+            operations = msgspec.json.decode(call)["params"]["ops"]
+            host = self.host
+            self.timers.after(CALL_S, lambda: self._carry_out(operations) if self.host is host else None)
+        elif not self.host.orders.waiting:
+            self._schedule(max(now + 1e-3, self.host.module_due_at()))
+
+    def _carry_out(self, operations: list[dict]) -> None:
+        accepted = self.seat.relay.apply(operations)
+        answer = {"jsonrpc": "2.0", "id": self.host.orders.request_id, "result": {"accepted": accepted}}
+        self.host.orders.feed(msgspec.json.encode(answer) + b"\n", self.timers.clock())
+        self._turn()
+
+
+def play(options: SupervisorOptions, seed: int, seconds: float) -> Fleet:
+    """Plays a seed in virtual time."""
+    loop = VirtualLoop()
+    timers = VirtualSeat(loop, "fleet")
+    fleet = Fleet(timers, options.facts, seed, unix_offset=1.75e9)
+    for seat in fleet.seats:
+        seat.connect(VirtualSupervisor(timers, options._replace(seed=seed * 8 + seat.number), seat, 1.75e9))
+    fleet.begin()
+    loop.run(seconds)
+    fleet.check_caps()
+    return fleet
--- a/tests/test_cold_servers_process.py
+++ b/tests/test_cold_servers_process.py
@@ -15,7 +15,7 @@
 from tests.test_net import run_until
 
 PROXIES, LOAD = 6, 0.9  # joined proxies; arrivals over the capacity of all servers
-SICK, WARM, COLD = range(3)  # numbers of the servers
+SICK, WARM, COLD, SUCCESSOR = range(4)  # numbers of the servers; the last one is listed later
 REPORT_INTERVAL_S = 0.5
 WITHDRAWAL_S = 10.0  # after it a server that was withdrawn returns
 UNNOTICED_S = 1.9  # for which a proxy's stream is broken unseen (notice_ms of the site)
@@ -98,3 +98,17 @@
     lines, groups, _ = fleet.applied_state()
     assert all(not lines[group].get(f"s-{WARM}") for group in groups.values())
     assert fleet.judge.worst.multiple <= fleet.judge.facts.tip_multiple
+
+
+def test_a_restart_told_right_after_a_drain_is_cut_before_other_orders_reach_the_holders(fleet):
+    """Guards against a new line that goes out with knowledge of a restart, while the cut waits for its turn."""
+    fleet.join(*range(PROXIES))
+    fleet.until(lambda: set(fleet.applied_state()[1]) == set(range(PROXIES)))
+    fleet.judge_for(1.0)
+    fleet.tell(4, server_entry(WARM, state="draining"))
+    fleet.until(lambda: any(not lines.get(f"s-{WARM}", 1.0) for lines in fleet.applied_state()[0].values()))
+    full_line = max(lines[f"s-{COLD}"] for lines in fleet.applied_state()[0].values())
+    restarted = server_entry(COLD, started_ms=round(1000 * (time.time() - 0.7)))
+    fleet.tell(5, restarted, server_entry(SUCCESSOR))
+    fleet.until(lambda: any(f"s-{SUCCESSOR}" in lines for lines in fleet.applied_state()[0].values()))
+    assert all(lines[f"s-{COLD}"] < full_line / 2 for lines in fleet.applied_state()[0].values())
