--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -702,6 +702,10 @@
         """The weight with which proxies may pick a server by the orders sent so far."""
         return 0.0 if self.withdrawn[i] else self.line_weight[i]
 
+    def line_precedes_start(self, i: int) -> bool:
+        """Whether the present line of a server was ordered before its last entry steps began."""
+        return self.line_weight[i] > 0 and self.line_sent[i] < self.entered[i]
+
     def _target_withdrawals(self) -> list[bool]:
         """Whether each server should be withdrawn now."""
         withdrawn = [at is not None and self.state[i] == face.READY for i, at in enumerate(self.withdrawn_at)]
@@ -883,7 +887,7 @@
                 removals.append((self.left_at[i], *order))
             elif present and restarted and weight < present * (1 - MAX_SOLVE_STEP):
                 # Guards against other orders that reach the holders of a restarted server before its cut.
-                (due_cuts if self.line_sent[i] < self.entered[i] else cuts).append((weight, *order))
+                (due_cuts if self.line_precedes_start(i) else cuts).append((weight, *order))
             elif weight and (not present or abs(weight - present) >= MIN_RELATIVE_CHANGE * present):
                 ordinary.append((-abs(weight - present) / (weight + present), *order))
             if withdrawals[i] != self.withdrawn[i]:
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -32,6 +32,7 @@
 READY_TIMEOUT_S = 2.0  # then pings are answered whether or not relay and discovery have responded
 RELAY_WATCHERS = 2  # connections with notifications of proxies
 FIXED_SETTINGS = ("name", "listen", "sockets", "facts")  # fields that a reload does not change
+MAX_LOGGED_COLD_LINES = 4  # in the log of each second
 MAX_OWED_BYTES = 1 << 16  # of answers to pings held back for one peer until the supervisor is ready
 
 
@@ -89,6 +90,20 @@
             cold_weight[part] += 0.0 if brain.is_warm(i) else brain.weight_in_force(i)
         return max((cold_weight[part] / total for part, total in weight.items() if total), default=0.0)
 
+    def cold_lines(self) -> list[tuple[str, float, float, bool]]:
+        """Of the cold servers with the largest share of a part, by the orders sent so far: id, seconds since the start,
+        share of the part's weight, and whether the line was ordered before the start was known."""
+        brain, weight = self.brain, Counter()
+        for i, part in enumerate(brain.part):
+            weight[part] += brain.weight_in_force(i)
+        rows = []
+        for i, part in enumerate(brain.part):
+            if brain.weight_in_force(i) and brain.state[i] == face.READY and not brain.is_warm(i):
+                share = brain.weight_in_force(i) / weight[part]
+                age, name = brain.now - brain.started[i], brain.server_ids[i].decode()
+                rows.append((name, round(age, 1), round(share, 3), brain.line_precedes_start(i)))
+        return sorted(rows, key=lambda row: -row[2])[:MAX_LOGGED_COLD_LINES]
+
     def lines_of_mark(self, mark: int | None) -> float:
         """Lines in the channel for the orders with this mark, as the module counts them."""
         return sum(lines for each, lines, _ in self.brain.channel if each == mark)
@@ -363,6 +378,8 @@
             out=sum(brain.withdrawn_at[i] is not None for i in ready),
             shut_out=sum(brain.withdrawn),  # by the orders sent so far
             cold_share=round(host.cold_share(), 3),
+            cold_lines=host.cold_lines(),
+            unbound=len(brain.waiting_since),  # joined proxies that wait for their table
             cold=sum(not brain.is_warm(i) for i in ready),
             let_in=round(brain.admitted_share, 3),
             tries=brain.tries,
--- /dev/null
+++ b/driftshed/standins/platform/__main__.py
@@ -0,0 +1,49 @@
+"""`python -m driftshed.standins.platform`: plays seeds against the supervisor and prints the breaks of the rules."""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from driftshed.standins.platform import processes, virtual
+from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, Fleet
+from driftshed.standins.platform.settings import fleet_options
+
+
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--first-seed", default=1, show_default=True, type=click.IntRange(min=0))
+@click.option("--plays", default=1, show_default=True, type=click.IntRange(1, 10_000), help="Seeds to play in turn.")
+@click.option("--seconds", default=56.0, show_default=True, type=click.FloatRange(5.0, 600.0), help="Length of a play.")
+@click.option("--real", is_flag=True, help="Real processes over loopback instead of virtual time.")
+def main(first_seed: int, plays: int, seconds: float, real: bool) -> None:
+    """Plays a fleet of three supervisors; exits with 1 if a rule was broken."""
+    broken = False
+    for seed in range(first_seed, first_seed + plays):
+        failures: list[str] = []
+        if real:
+            with tempfile.TemporaryDirectory() as folder:
+                play = processes.Play(seed, Path(folder))
+                fleet, failures = play.run(seconds), play.failures
+            click.echo(f"stand-ins at most {play.longest_delay:.3f} s late")
+        else:
+            fleet = virtual.play(fleet_options(SUPERVISORS, PROXIES), seed, seconds)
+        _print(seed, fleet, failures)
+        broken |= bool(fleet.breaks or failures)
+    sys.exit(1 if broken else 0)
+
+
+def _print(seed: int, fleet: Fleet, failures: list[str]) -> None:
+    click.echo(
+        f"seed {seed}: {len(fleet.breaks)} breaks; worst load of a cold server {fleet.worst.multiple:.2f} times "
+        f"what it can do, {fleet.facts.tip_multiple:g} allowed; {fleet.outcomes['answered']} answered, "
+        f"{fleet.outcomes['failed']} failed"
+    )
+    for each in [*fleet.breaks[:10], *failures]:
+        click.echo(f"  {each}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -584,4 +584,6 @@
     brain = host.brain
     brain.withdrawn[brain.slot_of[b"s-5"]] = True  # the only warm one
     assert host.cold_share() == 1.0
+    assert [name for name, *_ in host.cold_lines()] == [f"s-{number}" for number in range(4)]
+    assert all(0 <= age < 60 and share == 0.2 and not uncut for _, age, share, uncut in host.cold_lines())
     platform.until(lambda: any(event == "second" and "shut_out" in fields for event, fields in platform.logged))
