--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from driftshed import interface as face
 from tests.cold_fleets import REDIAL_S, BrokenStreams, ColdFleet, random_restarts
 from tests.helpers import SimulatedFleet
 from tests.takeovers import server_id
@@ -69,6 +70,24 @@
     assert [(order.proxy, order.table) for order in selected] == [(0, brain.target_part[0])]
 
 
+def test_proxies_that_should_leave_a_part_count_for_its_cold_servers_while_they_hold_it():
+    """Guards against a limit that goes by where proxies should be, while their moves wait for answers."""
+    world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
+    world.run(10, report_all)
+    brain, held = world.brain, world.held_table[0]
+    cold = [i for i, part in enumerate(brain.part) if part == held][1:]  # the first one stays warm
+    for i in cold:
+        world.list_server(brain.server_ids[i], face.READY, started=world.now)
+    world.run(2.5, report_all)
+    withdrawals, parts = [False] * len(brain.server_ids), len(brain.part_zone)
+    brain.held_part = {proxy: proxy % parts for proxy in brain.proxy_zone}
+    brain.target_part = dict(brain.held_part)
+    weight = brain._target_weights(withdrawals)[cold[0]]
+    for proxy in [proxy for proxy, part in brain.held_part.items() if part == held][1:]:
+        brain.target_part[proxy] = (held + 1) % parts
+    assert 0 < brain._target_weights(withdrawals)[cold[0]] <= weight
+
+
 def test_cold_servers_are_not_overloaded_by_a_sudden_crowd_of_proxies():
     """Guards against a limit that follows a rise of all arrivals by three quarters only with the reports."""
     fleet = play_restarts(124)
