Plays stamp starts by the clock that the play begins with; weight by part is counted once

Read again, three things. The play of real processes took its unix offset before it waits for the supervisors; a slow start puts off the play's clock, so servers would then have been listed as older than they are. It is taken after the wait. cold_share and cold_lines summed the weight of each part in the same loop; both call _weight_by_part.

--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -81,22 +81,24 @@
         if ops:
             self.orders.enqueue(ops)
 
+    def _weight_by_part(self) -> Counter[int]:
+        """The weight in each part of the table that proxies may pick by the orders sent so far."""
+        weight: Counter[int] = Counter()
+        for i, part in enumerate(self.brain.part):
+            weight[part] += self.brain.weight_in_force(i)
+        return weight
+
     def cold_share(self) -> float:
         """The largest share of the weight in one part of the table that cold servers have by the orders sent so far."""
-        brain = self.brain
-        weight, cold_weight = Counter(), Counter()
+        brain, weight, cold_weight = self.brain, self._weight_by_part(), Counter()
         for i, part in enumerate(brain.part):
-            weight[part] += brain.weight_in_force(i)
             cold_weight[part] += 0.0 if brain.is_warm(i) else brain.weight_in_force(i)
         return max((cold_weight[part] / total for part, total in weight.items() if total), default=0.0)
 
     def cold_lines(self) -> list[tuple[str, float, float, bool]]:
         """Of the cold servers with the largest share of a part, by the orders sent so far: id, seconds since the start,
         share of the part's weight, and whether the line was ordered before the start was known."""
-        brain, weight = self.brain, Counter()
-        for i, part in enumerate(brain.part):
-            weight[part] += brain.weight_in_force(i)
-        rows = []
+        brain, weight, rows = self.brain, self._weight_by_part(), []
         for i, part in enumerate(brain.part):
             if brain.weight_in_force(i) and brain.state[i] == face.READY and not brain.is_warm(i):
                 share = brain.weight_in_force(i) / weight[part]
--- a/driftshed/standins/platform/processes.py
+++ b/driftshed/standins/platform/processes.py
@@ -298,6 +298,7 @@
                 supervisor.connect_collectors()
             self.loop.run(0.0)
             self._wait_until_ready()
+            self.fleet.unix_offset = time.time() - self.loop.clock()  # the wait may have put off the clock
             self.fleet.begin()
             self._measure_delay(self.loop.clock())
             self.loop.run(seconds)
--- a/driftshed/standins/platform/servers.py
+++ b/driftshed/standins/platform/servers.py
@@ -77,7 +77,7 @@
         self.timers, self.facts, self.name, self.zone, self.kind, self.speed = timers, facts, name, zone, kind, speed
         self.cold_share, self.warm_within = facts.cold_share, facts.warm_within
         self.queue_length = 24
-        self.running, self.fallen, self.state = True, False, face.READY
+        self.running = True
         self.started_at: float | None = None  # None: long ago
         self.error_share = 0.0  # of the tries that fail at once
         self.runs = 0  # starts and ends so far: a try of an earlier run is never answered
@@ -88,7 +88,7 @@
 
     def start(self) -> None:
         """The process starts, cold."""
-        self.running, self.fallen, self.started_at = True, False, self.timers.clock()
+        self.running, self.started_at = True, self.timers.clock()
         self.runs += 1
         self.core_free_at = [0.0] * CORES
         self.in_flight = 0
@@ -127,7 +127,6 @@
         load = self.judge.load(self.name, now, self.capacity(now))
         self.on_overload(load)
         if self.judge.is_over(self.capacity(now)):
-            self.fallen = True
             self.end()
 
     def _refuse(self, on_end: Callable, proven_unrun: bool) -> None:
