--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -655,8 +655,11 @@
         ready = [i for servers in by_part for i in servers]
         entry_weight = sum(self.listed_weight[i] for i in ready) / max(1, len(ready)) * ENTRY_WEIGHT_SHARE
         full_weight, part_rate = self._full_weight(), [0.0] * len(by_part)
+        total_rate = sum(self.rate[proxy] for proxy in self.target_part)
+        # Guards against cold servers that get the work of proxies which should leave their part and still hold it.
         for proxy, part in self.target_part.items():
-            part_rate[part] += self.rate[proxy]
+            for each in {part, self.held_part.get(proxy, part)}:
+                part_rate[each] += self.rate[proxy]
         for part, servers in enumerate(by_part):
             steps = {i: min(99.0, (self.now - self.entered[i]) // ENTRY_STEP_S) for i in servers}
             settled_weight = sum(
@@ -685,7 +688,7 @@
                         / full_weight
                     )
                     self.bearable_share[part] += bearable
-                    share = bearable * (sum(part_rate) / part_rate[part] if part_rate[part] else len(part_rate))
+                    share = bearable * (total_rate / part_rate[part] if part_rate[part] else len(part_rate))
                     # Guards against a cold server that alone answers. Of two candidates a proxy picks the one with
                     # fewer open requests, so among servers that do not answer it gets the requests of both draws.
                     cold_limit[i] = 1 - max(0.0, 1 - share) ** 0.5 if self.picks_of_two else share
