Programs in tests listen on a host of their process's own; a failed end shows its error

test_signals_before_the_configuration_is_read_are_handled failed once with exit status 2 among test files side by side. The test takes a free port and the program listens there later; meanwhile another process took it.

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -1,6 +1,7 @@
 """A minimal platform for tests of `driftshed.node`: configurations, a relay and discovery."""
 
 import json
+import os
 
 from driftshed.adapter.facts import read_facts
 from driftshed.net.loop import Loop
@@ -184,9 +185,16 @@
         self.loop.close()
 
 
-def free_port() -> int:
+def free_address() -> str:
+    """An address to listen on, with a host of this process's own: no other process takes its port meanwhile."""
+    number = os.getpid()
+    host = f"127.{64 + number // 256 % 128}.{number % 256}.1"
+    return f"{host}:{free_port(host)}"
+
+
+def free_port(host: str = "127.0.0.1") -> int:
     loop = Loop()
-    listener = Listener(loop, ("127.0.0.1", 0), lambda stream: None)
+    listener = Listener(loop, (host, 0), lambda stream: None)
     listener.close()
     loop.close()
     return listener.address[1]
--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -11,7 +11,7 @@
 import pytest
 
 from driftshed.node.resp import encode_message
-from tests.platforms import Platform, format_address, free_port, make_configuration
+from tests.platforms import Platform, format_address, free_address, make_configuration
 from tests.test_net import run_until
 
 # ---- the process -----------------------------------------------------------------------------------------------------
@@ -23,7 +23,7 @@
     def __init__(self, folder, platform: Platform, **more) -> None:
         self.file = folder / "config.json"
         self.document = make_configuration(platform.relay.address, platform.discovery.address) | more
-        self.document["listen"] = f"127.0.0.1:{free_port()}"
+        self.document["listen"] = free_address()
         self.environment = {**os.environ, "LB_CONFIG": str(self.file)}
         self.environment.pop("LB_LISTEN", None)
 
@@ -88,7 +88,7 @@
         run_until(other.loop, lambda: len(other.watches) >= 2)
         program.terminate()
     stderr = process.communicate(timeout=20)[1] or b""
-    assert process.returncode == 0 and b"Traceback" not in stderr
+    assert process.returncode == 0 and b"Traceback" not in stderr, stderr
 
 
 @pytest.mark.parametrize("step", ["at once", "watched", "bound", "a call is out"])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -37,7 +37,7 @@
     KINDS,
     Platform,
     chunk,
-    free_port,
+    free_address,
     make_configuration,
     nested,
     roster_update,
@@ -544,7 +544,7 @@
 
     invalid = start(settings={})
     assert invalid.wait(20) == 2 and b"settings do not specify" in invalid.stderr.read()
-    process = start(listen=f"127.0.0.1:{free_port()}")
+    process = start(listen=free_address())
     platform.until(lambda: len(platform.watches) >= 2)
     file.write_bytes(b"{")
     process.send_signal(signal.SIGHUP)  # with an unusable file the old configuration stays in force
