A part of cold servers alone gets no proxy that brings more than it can bear

Cause: proxies beyond what such a part can bear are displaced, but proxies without a part, the displaced ones among them, went where the excess over the target was least by ratio, and a part with a small target and nobody in it lacks all of it, whatever one proxy brings. Class: a limit that is kept on the way out and not on the way in.

_assign_parts now places a proxy in such a part only if the part can bear it, as long as another part can; moves between parts as well.

test_a_part_of_cold_servers_alone_gets_no_proxy_that_brings_more_than_it_can_bear fails before: 24 arrivals a second in a part that can bear 14.4.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -733,20 +733,14 @@
         for i, weight in enumerate(weights):
             part_weight[self.part[i]] += 0.0 if withdrawn[i] else weight
         unplaced = {p for p in self.proxy_zone if p not in self.target_part or not part_weight[self.target_part[p]]}
-        rate, total_rate = self.rate, sum(self.rate.values())
-        # Guards against overloading a part of cold servers alone: proxies beyond what it can bear leave at once.
-        remaining = {part: share * total_rate for part, share in self.bearable_share.items() if share < float("inf")}
-        self.displaced = set()
-        in_cold_parts = (p for p, part in self.target_part.items() if part in remaining and p not in unplaced)
-        for proxy in sorted(in_cold_parts, key=lambda p: (rate[p], p)):
-            remaining[self.target_part[proxy]] -= rate[proxy]
-            if remaining[self.target_part[proxy]] < 0:
-                self.displaced.add(proxy)
+        rate = self.rate
+        bearable = self._displace_from_cold_parts(unplaced)
         unplaced |= self.displaced
         rebalance = self.now >= self.next_rebalance and not self.unanswered and len(part_weight) > 1
         if not any(part_weight) or not (unplaced or rebalance):
             return
         self.next_rebalance = self.now + self.evaluation_interval if rebalance else self.next_rebalance
+        non_empty = [part for part, weight in enumerate(part_weight) if weight]
         target = self._target_shares(part_weight, rate)
         for zone in sorted(set(self.proxy_zone.values())):
             zone_proxies = sorted(
@@ -758,8 +752,8 @@
             for proxy in zone_proxies:
                 source = self.target_part.get(proxy)
                 if proxy in unplaced:
-                    non_empty = (p for p, w in enumerate(part_weight) if w)
-                    destination = min(non_empty, key=lambda p: excess[p] / (target[zone][p] or 1.0))
+                    room = [p for p in non_empty if rate[proxy] <= bearable.get(p, rate[proxy])]
+                    destination = min(room or non_empty, key=lambda p: excess[p] / (target[zone][p] or 1.0))
                 else:
                     if (
                         not rebalance
@@ -767,7 +761,9 @@
                         or excess[source] <= IMBALANCE_TOLERANCE * target[zone][source]
                     ):
                         continue
-                    destination = excess.index(min(excess))
+                    destination = min(non_empty, key=lambda p: excess[p])
+                    if rate[proxy] > bearable.get(destination, rate[proxy]):
+                        continue
                     # Guards against a part that keeps the busiest proxies because no other part lacks as much as one
                     # of them brings: far over its target, it gives one to a part that ends less than half as far over.
                     source_excess = excess[source] / (target[zone][source] or 1.0)
@@ -780,6 +776,26 @@
                     excess[source] -= rate[proxy]
                 self.target_part[proxy] = destination
                 excess[destination] += rate[proxy]
+                if destination in bearable:
+                    bearable[destination] -= rate[proxy]
+
+    def _displace_from_cold_parts(self, unplaced: set[int]) -> dict[int, float]:
+        """Finds the proxies beyond what parts of cold servers alone can bear, which must leave at once.
+
+        Returns the arrivals per second that each of these parts can still bear beside the proxies that stay. Guards
+        against overloading them, also by one proxy that brings more than the part lacks.
+        """
+        rate, total_rate = self.rate, sum(self.rate.values())
+        bearable = {part: share * total_rate for part, share in self.bearable_share.items() if share < float("inf")}
+        self.displaced = set()
+        in_cold_parts = (p for p, part in self.target_part.items() if part in bearable and p not in unplaced)
+        for proxy in sorted(in_cold_parts, key=lambda p: (rate[p], p)):
+            part = self.target_part[proxy]
+            if rate[proxy] > bearable[part]:
+                self.displaced.add(proxy)
+            else:
+                bearable[part] -= rate[proxy]
+        return bearable
 
     def _part_quality(self, zone: int) -> list[float]:
         """How well each part answers a zone, up to 1; a part with few reports moves toward 1.
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -70,6 +70,23 @@
     assert [(order.proxy, order.table) for order in selected] == [(0, brain.target_part[0])]
 
 
+def test_a_part_of_cold_servers_alone_gets_no_proxy_that_brings_more_than_it_can_bear():
+    """Guards against proxies that such a part lacks little of, each of which brings much."""
+    world = SimulatedFleet(servers=40, proxies=12, extra="domain.proxies=30\ndomain.minConnCap=200\n")
+    world.run(10, report_all)
+    brain, cold_part = world.brain, world.held_table[0]
+    for i in [i for i, part in enumerate(brain.part) if part == cold_part]:
+        world.list_server(brain.server_ids[i], face.READY, started=world.now)
+
+    def judge(world: SimulatedFleet) -> None:
+        rate = sum(brain.rate[proxy] for proxy, part in brain.target_part.items() if part == cold_part)
+        assert rate <= 1.001 * brain.bearable_share[cold_part] * sum(brain.rate.values())
+
+    world.run(2, report_all, judge)
+    world.events += [face.Joined(proxy % 2, True, proxy, 20.0) for proxy in range(12, 30)]
+    world.run(4, report_all, judge)
+
+
 def test_proxies_that_should_leave_a_part_count_for_its_cold_servers_while_they_hold_it():
     """Guards against a limit that goes by where proxies should be, while their moves wait for answers."""
     world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
