Cold servers get no share of a sudden crowd before servers are known to answer it

What a cold server can bear was a share of all arrivals. 57 proxies that bring new work join within 2 s, the arrivals rise from 79 to 137 a second, and a cold server at 0.4 of the usual speed gets its share of all: 4.57 of 4 times over 2 s. The share that the fleet can answer is evaluated each 1.5 s from a sample that began before the crowd.

Now the limit holds for the arrivals as the sample began, or more while all is answered (decaying); what is beyond them does not raise it until the next evaluation. Proxies that come with a table of another supervisor count as answered, and so do those that leave, so that a takeover spares no cold server.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -199,7 +199,9 @@
         # What the fleet can answer at its best, as a share of the offered tries with their repeats. Starts at the
         # worst value, since an instance without reports cannot rule it out.
         self.answerable_share = facts.tip_multiple**-2
+        self.answerable_rate = float("inf")  # arrivals per second that the fleet is known to answer at its best
         self.strain_since = now  # start of the strain sample
+        self.sampled_rate = 0.0  # arrivals per second of all proxies at that time
         self.next_control = now + self.control_interval
         self.target_levels = [(self.unlimited_level, self.tries) for _ in self.objectives]
         # Levels in force, by part and operation: level and tries.
@@ -374,8 +376,11 @@
         self.joined_at[joined.proxy] = self.now
         self.demand[joined.proxy] = [joined.rate * weight / sum(self.operation_mix) for weight in self.operation_mix]
         self.rate[joined.proxy] = sum(self.demand[joined.proxy])
+        if not joined.fresh:
+            self._count_handover(joined.rate)
 
     def _handle_left(self, left: face.Left) -> None:
+        self._count_handover(-self.rate.get(left.proxy, 0.0))
         by_proxy = self.target_part, self.held_part, self.unanswered, self.waiting_since
         for mapping in (self.message_times, self.joined_at, self.proxy_zone, self.demand, self.rate, *by_proxy):
             mapping.pop(left.proxy, None)
@@ -574,6 +579,7 @@
             rate for proxy, rate in self.rate.items() if self.joined_at[proxy] <= self.strain_since - VIEW_WINDOW_S
         ]
         elapsed, arrival_rate = self.now - self.strain_since, max(1.0, sum(known_rates))
+        sampled_rate = self.sampled_rate
         self._reset_strain_sample()
         if not tries:
             return  # no reports: neither strain nor recovery
@@ -596,6 +602,7 @@
             self.best_unit_rate * DECAY_PER_EVALUATION, succeeded / elapsed / (full_weight or 1.0)
         )
         self.answerable_share = min(1.0, self.best_unit_rate * full_weight * elapsed / (2 * tries - succeeded))
+        self._update_answerable_rate(sampled_rate)
         if self.levels_pending:
             return
         if pressure > 1:
@@ -624,10 +631,28 @@
         """The weight of all ready servers, without slow start."""
         return sum(self.listed_weight[i] * self.factor[i] for servers in self._ready_by_part() for i in servers)
 
+    def _update_answerable_rate(self, sampled_rate: float) -> None:
+        """Updates the arrivals per second that can be answered; `sampled_rate`: those as the sample began.
+
+        Guards against cold servers that get their share of a crowd or a burst before any report shows who answers it.
+        """
+        if not sampled_rate:
+            return
+        proven_rate = self.answerable_share * sampled_rate
+        if self.answerable_share == 1 and self.answerable_rate < float("inf"):
+            proven_rate = max(proven_rate, self.answerable_rate * DECAY_PER_EVALUATION)
+        self.answerable_rate = proven_rate
+
+    def _count_handover(self, rate: float) -> None:
+        """Counts arrivals per second that come from another supervisor, or go to one: servers answer them as before."""
+        self.sampled_rate = max(0.0, self.sampled_rate + rate)
+        self.answerable_rate = max(0.0, self.answerable_rate + self.answerable_share * rate)
+
     def _reset_strain_sample(self) -> None:
         """Starts a new strain sample and puts the next evaluation of strain one interval from now."""
         self.strain_sample[:] = [[0.0, 0.0, 0.0] for _ in self.server_ids]
         self.strain_since = self.now
+        self.sampled_rate = sum(self.rate.values())
         self.next_control = self.now + self.control_interval
 
     def _target_levels(self) -> list[tuple[float, int]]:
@@ -660,6 +685,7 @@
         for proxy, part in self.target_part.items():
             for each in {part, self.held_part.get(proxy, part)}:
                 part_rate[each] += self.rate[proxy]
+        answerable_share = min(self.answerable_share, self.answerable_rate / (total_rate or 1.0))
         for part, servers in enumerate(by_part):
             steps = {i: min(99.0, (self.now - self.entered[i]) // ENTRY_STEP_S) for i in servers}
             settled_weight = sum(
@@ -682,7 +708,7 @@
                     bearable = (
                         warmth
                         * self.slow_start_limit
-                        * self.answerable_share
+                        * answerable_share
                         * self.listed_weight[i]
                         * self.factor[i]
                         / full_weight
--- a/tests/takeovers.py
+++ b/tests/takeovers.py
@@ -60,10 +60,10 @@
         number = int.from_bytes(server, "big")
         return face.Entry(server, number % 2, number // 2 % 2, self.started[server], 0, self.states[server], 1.0)
 
-    def join(self, number: int, lines: set[bytes]) -> None:
-        """A proxy joins with the lines of a table of another supervisor."""
+    def join(self, number: int, lines: set[bytes], fresh: bool = False) -> None:
+        """A proxy joins with the lines of a table of another supervisor, or, if it is fresh, of its standing table."""
         self.proxies[number] = Proxy(number, self.now, dict.fromkeys(lines, 1.0))
-        self.events.append(face.Joined(number % 2, not lines, number, 1.0))
+        self.events.append(face.Joined(number % 2, fresh or not lines, number, 1.0))
 
     def list_servers(self, state: int, servers: list[bytes]) -> None:
         """The supervisor is told a new state of some servers; a ready one has started just before."""
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import pytest
+
 from driftshed import interface as face
 from tests.cold_fleets import REDIAL_S, BrokenStreams, ColdFleet, random_restarts
 from tests.helpers import SimulatedFleet
@@ -41,7 +43,7 @@
         while coming and coming[0][0] <= fleet.now:
             number = coming.pop(0)[1]
             listed = [server for server in fleet.states if fleet.entry(server).zone == number % 2]
-            fleet.join(number, set(fleet.random.sample(listed, 5)))
+            fleet.join(number, set(fleet.random.sample(listed, 5)), fresh=True)
 
     fleet.play(50.0, before)
     return fleet
@@ -105,6 +107,24 @@
     assert 0 < brain._target_weights(withdrawals)[cold[0]] <= weight
 
 
+@pytest.mark.parametrize("fresh", [True, False])
+def test_only_new_work_lowers_the_limit_of_cold_servers(fresh):
+    """Guards against cold servers that get their share of a crowd, and against sparing them in a takeover."""
+    world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=90\ndomain.minConnCap=200\n")
+    world.run(10, report_all)
+    brain, held = world.brain, world.held_table[0]
+    cold = [i for i, part in enumerate(brain.part) if part == held][1:]  # the first one stays warm
+    for i in cold:
+        world.list_server(brain.server_ids[i], face.READY, started=world.now)
+    world.run(2, report_all)
+    no_withdrawals = [False] * len(brain.server_ids)
+    weight = brain._target_weights(no_withdrawals)[cold[0]]
+    world.events += [face.Joined(proxy % 2, fresh, proxy, 5.0) for proxy in range(30, 90)]
+    world.handle_events()
+    assert 0 < brain._target_weights(no_withdrawals)[cold[0]]
+    assert (brain._target_weights(no_withdrawals)[cold[0]] < weight) == fresh
+
+
 def test_cold_servers_are_not_overloaded_by_a_sudden_crowd_of_proxies():
     """Guards against a limit that follows a rise of all arrivals by three quarters only with the reports."""
     fleet = play_restarts(124)
