Proxies no longer go to and fro between parts of cold servers alone; their tables leave room

Cause: proxies beyond what a part of cold servers alone can bear leave at once. Where no part could bear them they went to the part with the least excess, were beyond its limit as well, and left again in the next turn. Their tables may fill the whole channel, and drains, cuts and the tables of joined proxies wait for it. Class: a repair that repeats with no gain, at the priority of a repair.

Now such a proxy goes where it is borne, or from a part far over its target to one that ends less than half as far over, the condition of other moves; and its table stays within the lines that leave room for drains, as for joined proxies.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -761,9 +761,8 @@
         unplaced = {p for p in self.proxy_zone if p not in self.target_part or not part_weight[self.target_part[p]]}
         rate = self.rate
         bearable = self._displace_from_cold_parts(unplaced)
-        unplaced |= self.displaced
         rebalance = self.now >= self.next_rebalance and not self.unanswered and len(part_weight) > 1
-        if not any(part_weight) or not (unplaced or rebalance):
+        if not any(part_weight) or not (unplaced or self.displaced or rebalance):
             return
         self.next_rebalance = self.now + self.evaluation_interval if rebalance else self.next_rebalance
         non_empty = [part for part, weight in enumerate(part_weight) if weight]
@@ -775,11 +774,21 @@
             excess = [-each for each in target[zone]]
             for proxy in set(zone_proxies) - unplaced:
                 excess[self.target_part[proxy]] += rate[proxy]
+
+            def is_relieved(proxy: int, source: int, destination: int, zone: int = zone, excess: list = excess) -> bool:
+                """Whether a move leads from a part far over its target to one that ends less than half as far over."""
+                before = excess[source] / (target[zone][source] or 1.0)
+                after = (excess[destination] + rate[proxy]) / (target[zone][destination] or 1.0)
+                return before > REMAINING_WEIGHT_THRESHOLD and after < REMAINING_WEIGHT_THRESHOLD * before
+
             for proxy in zone_proxies:
                 source = self.target_part.get(proxy)
-                if proxy in unplaced:
+                if proxy in unplaced or proxy in self.displaced:
                     room = [p for p in non_empty if rate[proxy] <= bearable.get(p, rate[proxy])]
                     destination = min(room or non_empty, key=lambda p: excess[p] / (target[zone][p] or 1.0))
+                    # Guards against proxies that go to and fro between parts none of which can bear them.
+                    if proxy in self.displaced and not room and not is_relieved(proxy, source, destination):
+                        continue
                 else:
                     if (
                         not rebalance
@@ -792,13 +801,9 @@
                         continue
                     # Guards against a part that keeps the busiest proxies because no other part lacks as much as one
                     # of them brings: far over its target, it gives one to a part that ends less than half as far over.
-                    source_excess = excess[source] / (target[zone][source] or 1.0)
-                    destination_excess = (excess[destination] + rate[proxy]) / (target[zone][destination] or 1.0)
-                    if destination_excess > 0 and (
-                        source_excess <= REMAINING_WEIGHT_THRESHOLD
-                        or destination_excess >= REMAINING_WEIGHT_THRESHOLD * source_excess
-                    ):
+                    if excess[destination] + rate[proxy] > 0 and not is_relieved(proxy, source, destination):
                         continue
+                if proxy not in unplaced:
                     excess[source] -= rate[proxy]
                 self.target_part[proxy] = destination
                 excess[destination] += rate[proxy]
@@ -999,8 +1004,9 @@
             size = 1 + part_lines[part] + len(self.objectives) + self.message_overhead
             share = ORDINARY_SHARE if is_move else 1.0
             limit = self.queue_cap * share
-            if waiting_lines and held is None:
-                limit = min(self.queue_cap * ORDINARY_SHARE, ordinary_lines)  # reserves capacity for drains
+            # Reserves capacity for drains, unless the part that the proxy holds has no server.
+            if waiting_lines and (held is None or (not is_move and self.part_weight[held])):
+                limit = min(self.queue_cap * ORDINARY_SHARE, ordinary_lines)
             if waiting_lines + size > limit or not self._may_message(proxy, share):
                 continue
             selected.append(face.UseTable(0, part, proxy))
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -1,5 +1,6 @@
 """Cold servers while servers restart in place, streams break, and orders wait for answers."""
 
+from collections import Counter
 from random import Random
 
 import pytest
@@ -107,6 +108,22 @@
     assert 0 < brain._target_weights(withdrawals)[cold[0]] <= weight
 
 
+def test_proxies_do_not_go_to_and_fro_between_parts_of_cold_servers_alone():
+    """Guards against tables that fill the channel while no part can bear what others cannot."""
+    world = SimulatedFleet(servers=40, proxies=60, extra="domain.proxies=60\ndomain.minConnCap=200\n")
+    world.run(10, report_all)
+    coming, began = list(world.states), world.now
+
+    def restart_some(world: SimulatedFleet) -> None:
+        report_all(world)
+        for _ in range(min(4, len(coming))):
+            world.list_server(coming.pop(), face.READY, started=world.now)
+
+    world.run(8, restart_some)
+    tables = Counter(order.proxy for at, order in world.order_log if at > began and isinstance(order, face.UseTable))
+    assert max(tables.values()) == 1
+
+
 @pytest.mark.parametrize("fresh", [True, False])
 def test_only_new_work_lowers_the_limit_of_cold_servers(fresh):
     """Guards against cold servers that get their share of a crowd, and against sparing them in a takeover."""
