--- a/driftshed/standins/platform/fleet.py
+++ b/driftshed/standins/platform/fleet.py
@@ -80,6 +80,20 @@
     )
 
 
+def draw_dense_plan(seed: int) -> Plan:
+    """The plan of a seed with restarts so dense that many parts of the table have no warm server for a while."""
+    random = Random(f"dense plan {seed}")
+    return draw_plan(seed)._replace(
+        load=random.uniform(0.5, 0.7),
+        restart_interval=random.choice([1.2, 1.6, 2.0]),
+        crash_share=0.25,
+        broken_per_second=random.uniform(2.0, 6.0),
+        crowd=random.choice([40, 80]),
+        cut_off_at=random.choice([None, random.uniform(6.0, 30.0)]),
+        proxies_restarted=random.choice([0, 60]),
+    )
+
+
 class Break(NamedTuple):
     """A broken rule."""
 
@@ -133,10 +147,12 @@
 class Fleet:
     """Plays the troubles of a seed. `timers.clock()` is 0 at the start of the play; times are seconds."""
 
-    def __init__(self, timers: Timers, facts: face.StartFacts, seed: int, unix_offset: float) -> None:
-        """`unix_offset` is added to the clock to get unix times."""
+    def __init__(
+        self, timers: Timers, facts: face.StartFacts, seed: int, unix_offset: float, plan: Plan | None = None
+    ) -> None:
+        """`unix_offset` is added to the clock to get unix times. Without a plan the seed draws it."""
         self.timers, self.facts, self.seed, self.unix_offset = timers, facts, seed, unix_offset
-        self.plan, self.random = draw_plan(seed), Random(f"fleet {seed}")
+        self.plan, self.random = plan or draw_plan(seed), Random(f"fleet {seed}")
         self.mean_work = sum(w * share for w, share in zip(MEAN_WORK_S, OPERATION_SHARES, strict=True))
         self.servers = self._make_servers()
         entries = [listed_entry(server, face.READY, unix_offset) for server in self.servers.values()]
@@ -149,6 +165,7 @@
         self.worst = ColdLoad(0.0, "", 0.0, 0.0)  # of informed work, by the tries
         self.worst_expected = ColdLoad(0.0, "", 0.0, 0.0)  # the same by the tables that proxies hold
         self.expected: dict[str, deque] = {name: deque() for name in self.servers}
+        self.latest_send = 0.0  # seconds that a proxy went on sending to what drains or is gone
         self.longest_unbound = (0.0, 0, 0.0)  # seconds that a joined proxy had no table, its number, and when
         self.breaks: list[Break] = []
         self.outcomes: Counter[str] = Counter()
@@ -390,6 +407,7 @@
         told_at = self.seats[proxy.supervisor].agent.told_leaving_at.get(server.name)
         if proxy.joined and told_at is not None:
             began_at = max(told_at, proxy.joined_at, self.seats[proxy.supervisor].started_at + RULES_BEGIN_S)
+            self.latest_send = max(self.latest_send, now - began_at)
             late = now - began_at - self.facts.drain_grace - RULE_SLACK_S
             if late > 0:
                 text = f"proxy {proxy.number} at {proxy.supervisor} sent to {server.name} {late:.2f} s late"
@@ -480,6 +498,9 @@
         for seat in self.seats:
             if seat.relay.most_waiting > self.facts.queue_cap:
                 self.breaks.append(Break("channel", 0.0, f"n{seat.number}: {seat.relay.most_waiting:.0f} lines waited"))
+            for at, number in seat.relay.excess_messages:
+                text = f"n{seat.number}: more than {self.facts.message_cap:g} messages to proxy {number}"
+                self.breaks.append(Break("messages", at, text))
             for at, server, late in seat.relay.missing_cuts:
                 text = f"n{seat.number} wrote to holders of {server} {late:.2f} s after it was told, without a cut"
                 self.breaks.append(Break("cut", at, text))
--- a/driftshed/standins/platform/processes.py
+++ b/driftshed/standins/platform/processes.py
@@ -17,7 +17,7 @@
 from driftshed.net.stream import Listener, Stream, dial
 from driftshed.node.jsonlines import LineReader
 from driftshed.node.resp import encode_message
-from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, Fleet, Seat
+from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, Fleet, Plan, Seat
 from driftshed.standins.platform.settings import fleet_configuration, fleet_options
 
 ROOT = Path(__file__).resolve().parents[3]
@@ -278,12 +278,12 @@
 class Play:
     """A play of one seed against processes. `longest_delay`: how late the stand-ins were, in seconds."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
-        """Starts the processes, with their files in `folder`."""
+    def __init__(self, seed: int, folder: Path, plan: Plan | None = None) -> None:
+        """Starts the processes, with their files in `folder`. Without a plan the seed draws it."""
         self.origin = time.monotonic() + START_S
         self.loop = Loop(lambda: time.monotonic() - self.origin)
         unix_offset = time.time() - self.loop.clock()
-        self.fleet = Fleet(self.loop, fleet_options(SUPERVISORS, PROXIES).facts, seed, unix_offset)
+        self.fleet = Fleet(self.loop, fleet_options(SUPERVISORS, PROXIES).facts, seed, unix_offset, plan)
         self.supervisors = [ProcessSupervisor(self.loop, seat, folder) for seat in self.fleet.seats]
         for supervisor in self.supervisors:
             supervisor.seat.connect(supervisor)
--- a/driftshed/standins/platform/relay.py
+++ b/driftshed/standins/platform/relay.py
@@ -49,6 +49,8 @@
         self.on_notification: Callable[[str, dict], object] = lambda method, params: None
         self.channel_free_at, self.waiting = 0.0, deque()  # times of leaving and lines of messages
         self.most_waiting = 0.0
+        self.message_times: dict[int, deque[float]] = defaultdict(deque)  # of the open stream of each proxy, of late
+        self.excess_messages: list[tuple[float, int]] = []  # time and proxy of messages beyond the message cap
         self.told_ready_at: dict[str, float] = {}  # of restarted servers: when the supervisor was told of the start
         self.missing_cuts: list[tuple[float, str, float]] = []  # time, server, seconds since it was told
 
@@ -62,6 +64,7 @@
     def open_stream(self, proxy: FleetProxy) -> None:
         """A proxy joins with what it holds."""
         self.proxies[proxy.number] = proxy
+        self.message_times.pop(proxy.number, None)
         self.bound.pop(proxy.number, None)
         self.on_notification("SUBSCRIBE", self.subscription(proxy))
 
@@ -177,8 +180,17 @@
 
     # ---- the channel ------------------------------------------------------------------------------------------
 
+    def _judge_message_cap(self, proxy: FleetProxy, now: float) -> None:
+        times = self.message_times[proxy.number]
+        while times and times[0] <= now - self.facts.message_span:
+            times.popleft()
+        times.append(now)
+        if self.facts.message_cap and len(times) > self.facts.message_cap:
+            self.excess_messages.append((now, proxy.number))
+
     def _send(self, proxy: FleetProxy, message: Message, lines: float) -> None:
         now = self.timers.clock()
+        self._judge_message_cap(proxy, now)
         while self.waiting and self.waiting[0][0] <= now:
             self.waiting.popleft()
         lines += self.facts.lines_per_message + len(message.marks)
--- a/driftshed/standins/platform/virtual.py
+++ b/driftshed/standins/platform/virtual.py
@@ -10,7 +10,7 @@
 from driftshed.net.loop import Timers
 from driftshed.node.config import SupervisorOptions
 from driftshed.node.service import SupervisorHost
-from driftshed.standins.platform.fleet import Fleet, Seat
+from driftshed.standins.platform.fleet import Fleet, Plan, Seat
 
 CALL_S = 0.002  # from a call to the relay to its answer
 
@@ -98,11 +98,11 @@
         self._turn()
 
 
-def play(options: SupervisorOptions, seed: int, seconds: float) -> Fleet:
-    """Plays a seed in virtual time."""
+def play(options: SupervisorOptions, seed: int, seconds: float, plan: Plan | None = None) -> Fleet:
+    """Plays a seed in virtual time. Without a plan the seed draws it."""
     loop = VirtualLoop()
     timers = VirtualSeat(loop, "fleet")
-    fleet = Fleet(timers, options.facts, seed, unix_offset=1.75e9)
+    fleet = Fleet(timers, options.facts, seed, unix_offset=1.75e9, plan=plan)
     for seat in fleet.seats:
         seat.connect(VirtualSupervisor(timers, options._replace(seed=seed * 8 + seat.number), seat, 1.75e9))
     fleet.begin()
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS
+from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, draw_dense_plan
 from driftshed.standins.platform.processes import Play
 from driftshed.standins.platform.settings import fleet_options
 from driftshed.standins.platform.virtual import play
@@ -18,6 +18,13 @@
     assert not fleet.breaks, fleet.breaks[:5]
 
 
+@pytest.mark.parametrize("seed", [62, 85, 111])
+def test_tables_of_moved_proxies_leave_room_for_drains_while_few_servers_are_warm(seed):
+    """Guards against proxies that go to and fro between parts of cold servers alone, at the cost of all else."""
+    fleet = play(fleet_options(SUPERVISORS, PROXIES), seed, PLAY_S, draw_dense_plan(seed))
+    assert not fleet.breaks, fleet.breaks[:5]
+
+
 def test_three_processes_keep_the_rules_through_crashes_broken_streams_and_a_reload(tmp_path):
     """The same against real processes, over loopback, with a SIGHUP."""
     real_play = Play(5, tmp_path)
