The choice of a proxy's part in short functions, its arithmetic in figures.py

_assign_parts had grown to 70 lines with two kinds of moves in one loop. What a zone's proxies bring to each part is ZoneLoad now, and the destination of a proxy that must move and of one that may are functions of their own. The threshold that it shared with the restoring of short parts has its own names.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -22,7 +22,7 @@
 from random import Random
 
 from driftshed import interface as face
-from driftshed.figures import RunningMedian, fair_rate, median, weighted_median
+from driftshed.figures import RunningMedian, ZoneLoad, fair_rate, median, weighted_median
 
 LONG_AGO = float("-inf")  # a time before every other
 ANY_ZONE = -1  # zone of the single part of a small fleet
@@ -52,9 +52,7 @@
 # ---- values of the mechanisms beyond the design ----
 
 SLOW_START_LIMIT = 2 / 3  # of the tip multiple: the load that a cold server may be given
-# Of the weight that a part should have: where less of it remains after removals, the part's other changes become
-# urgent too. Also the condition for giving away a proxy that no other part lacks: the giving part's relative excess is
-# above this value, and that of the receiving part ends below this fraction of it.
+# Of the weight that a part should have: where less of it remains after removals, its other changes become urgent too.
 REMAINING_WEIGHT_THRESHOLD = 1 / 2
 SOLVE_EXPONENT = 1 / 3  # of the latency ratio in a solve: most latency is queueing, which reacts with a delay
 FACTOR_DECAY = 1 / 3  # exponent of the regression toward the listed weight in a solve, where weights are listed
@@ -759,67 +757,44 @@
         for i, weight in enumerate(weights):
             part_weight[self.part[i]] += 0.0 if withdrawn[i] else weight
         unplaced = {p for p in self.proxy_zone if p not in self.target_part or not part_weight[self.target_part[p]]}
-        rate = self.rate
         bearable = self._displace_from_cold_parts(unplaced)
         rebalance = self.now >= self.next_rebalance and not self.unanswered and len(part_weight) > 1
         if not any(part_weight) or not (unplaced or self.displaced or rebalance):
             return
         self.next_rebalance = self.now + self.evaluation_interval if rebalance else self.next_rebalance
         non_empty = [part for part, weight in enumerate(part_weight) if weight]
-        target = self._target_shares(part_weight, rate)
+        target = self._target_shares(part_weight, self.rate)
         for zone in sorted(set(self.proxy_zone.values())):
-            zone_proxies = sorted(
-                (p for p, proxy_zone in self.proxy_zone.items() if proxy_zone == zone), key=lambda p: (-rate[p], p)
-            )
-            excess = [-each for each in target[zone]]
-            for proxy in set(zone_proxies) - unplaced:
-                excess[self.target_part[proxy]] += rate[proxy]
-
-            def is_relieved(proxy: int, source: int, destination: int, zone: int = zone, excess: list = excess) -> bool:
-                """Whether a move leads from a part far over its target to one that ends less than half as far over."""
-                before = excess[source] / (target[zone][source] or 1.0)
-                after = (excess[destination] + rate[proxy]) / (target[zone][destination] or 1.0)
-                return before > REMAINING_WEIGHT_THRESHOLD and after < REMAINING_WEIGHT_THRESHOLD * before
-
-            for proxy in zone_proxies:
-                source = self.target_part.get(proxy)
-                if proxy in unplaced or proxy in self.displaced:
-                    room = [p for p in non_empty if rate[proxy] <= bearable.get(p, rate[proxy])]
-                    destination = min(room or non_empty, key=lambda p: excess[p] / (target[zone][p] or 1.0))
-                    # Guards against proxies that go to and fro between parts none of which can bear them.
-                    if proxy in self.displaced and not room and not is_relieved(proxy, source, destination):
-                        continue
+            proxies = [proxy for proxy, proxy_zone in self.proxy_zone.items() if proxy_zone == zone]
+            load = ZoneLoad(target[zone])
+            for proxy in set(proxies) - unplaced:
+                load.add(self.target_part[proxy], self.rate[proxy])
+            for proxy in sorted(proxies, key=lambda proxy: (-self.rate[proxy], proxy)):
+                rate = self.rate[proxy]
+                source = None if proxy in unplaced else self.target_part[proxy]
+                if source is None or proxy in self.displaced:
+                    destination = self._choose_destination(rate, source, load, non_empty, bearable)
                 else:
-                    if (
-                        not rebalance
-                        or rate[proxy] > excess[source]
-                        or excess[source] <= IMBALANCE_TOLERANCE * target[zone][source]
-                    ):
-                        continue
-                    destination = min(non_empty, key=lambda p: excess[p])
-                    if rate[proxy] > bearable.get(destination, rate[proxy]):
-                        continue
-                    # Guards against a part that keeps the busiest proxies because no other part lacks as much as one
-                    # of them brings: far over its target, it gives one to a part that ends less than half as far over.
-                    if excess[destination] + rate[proxy] > 0 and not is_relieved(proxy, source, destination):
-                        continue
-                if proxy not in unplaced:
-                    excess[source] -= rate[proxy]
+                    destination = self._choose_exchange(rate, source, load, non_empty, bearable) if rebalance else None
+                if destination is None:
+                    continue
+                if source is not None:
+                    load.add(source, -rate)
+                load.add(destination, rate)
+                bearable[destination] -= rate
                 self.target_part[proxy] = destination
-                excess[destination] += rate[proxy]
-                if destination in bearable:
-                    bearable[destination] -= rate[proxy]
 
-    def _displace_from_cold_parts(self, unplaced: set[int]) -> dict[int, float]:
+    def _displace_from_cold_parts(self, unplaced: set[int]) -> list[float]:
         """Finds the proxies beyond what parts of cold servers alone can bear, which must leave at once.
 
-        Returns the arrivals per second that each of these parts can still bear beside the proxies that stay. Guards
-        against overloading them, also by one proxy that brings more than the part lacks.
+        Returns the arrivals per second that each part can still bear beside the proxies that stay, infinite with a warm
+        server. Guards against overloading cold servers, also by one proxy that brings more than their part lacks.
         """
         rate, total_rate = self.rate, sum(self.rate.values())
-        bearable = {part: share * total_rate for part, share in self.bearable_share.items() if share < float("inf")}
+        shares = [self.bearable_share.get(part, float("inf")) for part in range(len(self.part_zone))]
+        bearable = [share if share == float("inf") else share * total_rate for share in shares]
         self.displaced = set()
-        in_cold_parts = (p for p, part in self.target_part.items() if part in bearable and p not in unplaced)
+        in_cold_parts = (p for p, part in self.target_part.items() if shares[part] < float("inf") and p not in unplaced)
         for proxy in sorted(in_cold_parts, key=lambda p: (rate[p], p)):
             part = self.target_part[proxy]
             if rate[proxy] > bearable[part]:
@@ -828,6 +803,29 @@
                 bearable[part] -= rate[proxy]
         return bearable
 
+    def _choose_destination(
+        self, rate: float, source: int | None, load: ZoneLoad, non_empty: list[int], bearable: list[float]
+    ) -> int | None:
+        """The part for a proxy without one, or for one that must leave `source`; None if it stays there."""
+        with_room = [part for part in non_empty if rate <= bearable[part]]
+        destination = min(with_room or non_empty, key=load.relative_excess)
+        # Guards against proxies that go to and fro between parts none of which can bear them.
+        if source is not None and not with_room and not load.relieves(rate, source, destination):
+            return None
+        return destination
+
+    def _choose_exchange(
+        self, rate: float, source: int, load: ZoneLoad, non_empty: list[int], bearable: list[float]
+    ) -> int | None:
+        """The part that a proxy should go to from one that is over its target; None if it stays there."""
+        if rate > load.excess[source] or load.excess[source] <= IMBALANCE_TOLERANCE * load.target[source]:
+            return None
+        destination = min(non_empty, key=lambda part: load.excess[part])
+        # Guards against a part that keeps the busiest proxies because no other lacks as much as one of them brings.
+        if load.excess[destination] + rate > 0 and not load.relieves(rate, source, destination):
+            return None
+        return destination if rate <= bearable[destination] else None
+
     def _part_quality(self, zone: int) -> list[float]:
         """How well each part answers a zone, up to 1; a part with few reports moves toward 1.
 
--- a/driftshed/figures.py
+++ b/driftshed/figures.py
@@ -2,6 +2,9 @@
 
 from bisect import bisect_left, insort
 
+FAR_OVER = 1 / 2  # of the target: a part is far over its target beyond this relative excess
+RELIEF = 1 / 2  # of the relative excess of the part that is left: the part that is joined has to end below it
+
 
 def weighted_median(pairs: list[tuple[float, float]]) -> float | None:
     """The value at which half of the total weight is reached; None without a positive weight.
@@ -52,3 +55,26 @@
             return left / (len(rates) - k)
         left -= rate
     return rates[-1] if rates else 0.0
+
+
+class ZoneLoad:
+    """Arrivals per second that the proxies of a zone bring to each part, against what they should bring."""
+
+    def __init__(self, target: list[float]) -> None:
+        """`target`: the arrivals per second that they should bring, by part."""
+        self.target = target
+        self.excess = [-each for each in target]  # arrivals per second over the target
+
+    def add(self, part: int, rate: float) -> None:
+        """Adds the arrivals per second of a proxy that comes, or takes off those of one that goes."""
+        self.excess[part] += rate
+
+    def relative_excess(self, part: int, added: float = 0.0) -> float:
+        """The excess of a part with `added` arrivals per second, as a share of its target."""
+        return (self.excess[part] + added) / (self.target[part] or 1.0)
+
+    def relieves(self, rate: float, source: int, destination: int) -> bool:
+        """Whether a proxy with these arrivals per second would leave a part far over its target for one that ends less
+        than half as far over."""
+        before = self.relative_excess(source)
+        return before > FAR_OVER and self.relative_excess(destination, rate) < RELIEF * before
