Lines that all their holders have answered no longer count as under way beside uncertain ones

Cause: where proxies wait for their table, what drains is withdrawn at them too, and only those that hold such a server answer. As long as one of these answers was due, _clear_answered kept whole messages as under way, also the lines of proxies that had answered or left. With more than half of the queue so taken no table goes out, and with nearly all of it no drain and no cut; without a new message no answer ends that, so it lasted until _give_up_lost_answers, 15 s here. Class: a reservation for one that is kept for all.

Now only the uncertain lines stay. test_lines_that_all_holders_have_answered_leave_the_channel_though_one_proxy_may_never_answer fails before: 77 lines under way, 6 can be.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -400,10 +400,12 @@
         self._clear_answered()
 
     def _clear_answered(self) -> None:
-        """Forgets the messages under way once no answer is due."""
-        if not self.unanswered and not any(self.uncertain_lines.values()):
-            self.channel.clear()
-            self.uncertain_lines.clear()
+        """Forgets the lines under way once no answer is due, but for those that only some proxies answer."""
+        if self.unanswered:
+            return
+        rows = [(mark, sum(self.uncertain_lines.get(mark, {}).values()), sent_at) for mark, _, sent_at in self.channel]
+        self.channel = deque(row for row in rows if row[1])
+        self.uncertain_lines = {mark: self.uncertain_lines[mark] for mark, _, _ in self.channel}
 
     # ---- reports and complaints ----
 
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -67,6 +67,20 @@
     return [(order.on, order.server) for _, order in fleet.order_log if isinstance(order, face.Withdraw)]
 
 
+def test_lines_that_all_holders_have_answered_leave_the_channel_though_one_proxy_may_never_answer():
+    """Guards against tables and drains that wait 15 s for lines that have long arrived or whose proxies have left."""
+    fleet = TakeoverFleet(SERVERS, STAYED, SETTINGS, 1)
+    fleet.run(3.0)
+    fleet.brain._assign_tables = lambda *_: None
+    fleet.join(STAYED, {server_id(5)})
+    drained = [server_id(0), server_id(1)]
+    fleet.list_servers(face.DRAINING, drained)
+    fleet.run(3.0)
+    assert set(withdrawals(fleet)) == {(True, server) for server in drained}
+    assert not fleet.brain.unanswered
+    assert 0 < fleet.brain.waiting_lines() <= len(drained) + fleet.brain.message_overhead
+
+
 def test_what_drains_is_withdrawn_only_while_a_proxy_waits_and_is_let_in_when_it_returns():
     fleet = small_fleet()
     fleet.list_servers(face.DRAINING, [server_id(0), server_id(1)])
