--- a/driftshed/standins/platform/__main__.py
+++ b/driftshed/standins/platform/__main__.py
@@ -9,7 +9,8 @@
 import click
 
 from driftshed.standins.platform import processes, virtual
-from driftshed.standins.platform.fleet import PROXIES, RULE_SLACK_S, SUPERVISORS, Fleet, draw_dense_plan
+from driftshed.standins.platform.fleet import PROXIES, RULE_SLACK_S, SUPERVISORS, Fleet
+from driftshed.standins.platform.plans import draw_dense_plan
 from driftshed.standins.platform.settings import fleet_options
 
 
--- /dev/null
+++ b/driftshed/standins/platform/plans.py
@@ -0,0 +1,62 @@
+"""What a seed draws of a play: loads, restarts, broken streams and crashes."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import NamedTuple
+
+FIRST_BREAK_AT_S = 3.0
+
+
+class Plan(NamedTuple):
+    """What a seed draws of a play. Times are seconds since its start."""
+
+    load: float  # requests' work over the capacity of all servers
+    restart_interval: float
+    crash_share: float  # of the restarts
+    broken_per_second: float  # streams
+    first_break: int  # streams of one supervisor that break at FIRST_BREAK_AT_S
+    crowd_at: float
+    crowd: int  # proxies of one supervisor that lose their streams then
+    cut_off_at: float | None  # when all streams of one supervisor go silent
+    silent_for: float  # until its proxies notice
+    proxies_restarted: int  # proxies of all supervisors that crash at `crowd_at` and restart
+    supervisor_restart_at: float | None
+    supervisor_away: float  # seconds
+    sick: int  # servers that err
+    client_repeats: int
+
+
+def draw_plan(seed: int) -> Plan:
+    """The plan of a seed."""
+    random = Random(f"plan {seed}")
+    return Plan(
+        load=random.choice([random.uniform(0.52, 0.8), random.uniform(0.8, 1.2)]),
+        restart_interval=random.choice([2.4, 3.5, 4.3, 4.8]),
+        crash_share=random.choice([0.25, 0.25, 0.5]),
+        broken_per_second=random.uniform(1.0, 4.0),
+        first_break=random.choice([0, 20, 34]),
+        crowd_at=random.uniform(6.0, 42.0),
+        crowd=random.choice([0, 40, 70]),
+        cut_off_at=random.choice([None, random.uniform(6.0, 30.0)]),
+        silent_for=random.uniform(4.3, 14.0),
+        proxies_restarted=random.choice([0, 0, 60, 160]),
+        supervisor_restart_at=random.choice([None, random.uniform(8.0, 40.0)]),
+        supervisor_away=random.uniform(1.0, 8.0),
+        sick=random.choice([0, 0, 2, 3]),
+        client_repeats=random.choice([0, 1]),
+    )
+
+
+def draw_dense_plan(seed: int) -> Plan:
+    """The plan of a seed with restarts so dense that many parts of the table have no warm server for a while."""
+    random = Random(f"dense plan {seed}")
+    return draw_plan(seed)._replace(
+        load=random.uniform(0.5, 0.7),
+        restart_interval=random.choice([1.2, 1.6, 2.0]),
+        crash_share=0.25,
+        broken_per_second=random.uniform(2.0, 6.0),
+        crowd=random.choice([40, 80]),
+        cut_off_at=random.choice([None, random.uniform(6.0, 30.0)]),
+        proxies_restarted=random.choice([0, 60]),
+    )
--- a/driftshed/standins/platform/processes.py
+++ b/driftshed/standins/platform/processes.py
@@ -17,7 +17,8 @@
 from driftshed.net.stream import Listener, Stream, dial
 from driftshed.node.jsonlines import LineReader
 from driftshed.node.resp import encode_message
-from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, Fleet, Plan, Seat
+from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, Fleet, Seat
+from driftshed.standins.platform.plans import Plan
 from driftshed.standins.platform.settings import fleet_configuration, fleet_options
 
 ROOT = Path(__file__).resolve().parents[3]
--- a/driftshed/standins/platform/virtual.py
+++ b/driftshed/standins/platform/virtual.py
@@ -10,7 +10,8 @@
 from driftshed.net.loop import Timers
 from driftshed.node.config import SupervisorOptions
 from driftshed.node.service import SupervisorHost
-from driftshed.standins.platform.fleet import Fleet, Plan, Seat
+from driftshed.standins.platform.fleet import Fleet, Seat
+from driftshed.standins.platform.plans import Plan
 
 CALL_S = 0.002  # from a call to the relay to its answer
 
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -3,7 +3,8 @@
 
 import pytest
 
-from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, draw_dense_plan
+from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS
+from driftshed.standins.platform.plans import draw_dense_plan
 from driftshed.standins.platform.processes import Play
 from driftshed.standins.platform.settings import fleet_options
 from driftshed.standins.platform.virtual import play
