Tables beyond the reserve go out only while no proxy answers

What is for is a channel whose lines nobody answers, so it holds only after half of the grace without any answer.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -209,6 +209,7 @@
         self.next_rebalance = now
         self.next_solve = now + SOLVE_INTERVAL_S
         self.next_urgent = LONG_AGO
+        self.last_answer_at = now  # of any proxy
         self.next_overdue_table = LONG_AGO  # time from which one more table may go out beyond the reserve
 
     def handle(self, now: float, events: list) -> list:
@@ -389,6 +390,7 @@
 
     def _handle_applied(self, applied: face.Applied) -> None:
         """Records a proxy's answer to a mark."""
+        self.last_answer_at = self.now
         # Messages are delivered in order: this answer covers all messages before this mark too.
         if any(mark == applied.mark for mark, _, _ in self.channel):
             while self.channel[0][0] != applied.mark:
@@ -1026,10 +1028,10 @@
     def _choose_overdue_proxy(self) -> int | None:
         """The proxy that may get its table beyond the reserve now, if any.
 
-        Of those that have waited so long that they could not let go of a drain in time, it is the last that joined,
-        since the others are more likely to be silent themselves.
+        Only while no proxy answers: else tables go out as others arrive. Of those that have waited so long that they
+        could not let go of a drain in time, it is the last that joined, since the others are more likely to be silent.
         """
-        if self.now < self.next_overdue_table:
+        if self.now < max(self.next_overdue_table, self.last_answer_at + self.table_patience):
             return None
         overdue = [proxy for proxy, since in self.waiting_since.items() if self.now - since >= self.table_patience]
         return overdue[-1] if overdue else None
