--- a/driftshed/standins/platform/fleet.py
+++ b/driftshed/standins/platform/fleet.py
@@ -38,7 +38,6 @@
 RULE_SLACK_S = 0.3  # by which the rules' time limits are longer on sockets
 RULES_BEGIN_S = 1.0  # after the start of a supervisor
 SAMPLE_INTERVAL_S = 0.1
-TRACED_SHARE = 2 / 3  # of the tip multiple: a cold server's load is traced above it
 
 
 class Break(NamedTuple):
@@ -116,7 +115,6 @@
         self.longest_unbound = (0.0, 0, 0.0)  # seconds that a joined proxy had no table, its number, and when
         self.breaks: list[Break] = []
         self.outcomes: Counter[str] = Counter()
-        self.trace: list[str] = []
 
     def _make_servers(self) -> dict[str, FleetServer]:
         servers = {}
@@ -398,8 +396,6 @@
             multiple = total * SAMPLE_INTERVAL_S / (self.facts.tip_span * server.capacity(now))
             if multiple > self.worst_expected.multiple and known >= 2 / 3 * total:
                 self.worst_expected = ColdLoad(multiple, name, now, known / total)
-                if multiple > TRACED_SHARE * self.facts.tip_multiple:
-                    self.trace.append(f"{now:.2f} expected {multiple:.2f}: {self.describe(server)}")
 
     def _judge_empty(self, proxy: FleetProxy, lines: dict, now: float) -> None:
         if lines or not proxy.joined:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -73,13 +73,21 @@
     assert [(order.proxy, order.table) for order in selected] == [(0, brain.target_part[0])]
 
 
+def restart_servers_of_a_part(world: SimulatedFleet, warm: int) -> tuple[int, list[int]]:
+    """After 10 s all servers of the first proxy's part restart, but for `warm`. Returns the part and their slots."""
+    world.run(10, report_all)
+    brain, held = world.brain, world.held_table[0]
+    cold = [i for i, part in enumerate(brain.part) if part == held][warm:]
+    for i in cold:
+        world.list_server(brain.server_ids[i], face.READY, started=world.now)
+    return held, cold
+
+
 def test_a_part_of_cold_servers_alone_gets_no_proxy_that_brings_more_than_it_can_bear():
     """Guards against proxies that such a part lacks little of, each of which brings much."""
     world = SimulatedFleet(servers=40, proxies=12, extra="domain.proxies=30\ndomain.minConnCap=200\n")
-    world.run(10, report_all)
-    brain, cold_part = world.brain, world.held_table[0]
-    for i in [i for i, part in enumerate(brain.part) if part == cold_part]:
-        world.list_server(brain.server_ids[i], face.READY, started=world.now)
+    cold_part, _ = restart_servers_of_a_part(world, warm=0)
+    brain = world.brain
 
     def judge(world: SimulatedFleet) -> None:
         rate = sum(brain.rate[proxy] for proxy, part in brain.target_part.items() if part == cold_part)
@@ -93,11 +101,8 @@
 def test_proxies_that_should_leave_a_part_count_for_its_cold_servers_while_they_hold_it():
     """Guards against a limit that goes by where proxies should be, while their moves wait for answers."""
     world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
-    world.run(10, report_all)
-    brain, held = world.brain, world.held_table[0]
-    cold = [i for i, part in enumerate(brain.part) if part == held][1:]  # the first one stays warm
-    for i in cold:
-        world.list_server(brain.server_ids[i], face.READY, started=world.now)
+    held, cold = restart_servers_of_a_part(world, warm=1)
+    brain = world.brain
     world.run(2.5, report_all)
     withdrawals, parts = [False] * len(brain.server_ids), len(brain.part_zone)
     brain.held_part = {proxy: proxy % parts for proxy in brain.proxy_zone}
@@ -128,11 +133,8 @@
 def test_only_new_work_lowers_the_limit_of_cold_servers(fresh):
     """Guards against cold servers that get their share of a crowd, and against sparing them in a takeover."""
     world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=90\ndomain.minConnCap=200\n")
-    world.run(10, report_all)
-    brain, held = world.brain, world.held_table[0]
-    cold = [i for i, part in enumerate(brain.part) if part == held][1:]  # the first one stays warm
-    for i in cold:
-        world.list_server(brain.server_ids[i], face.READY, started=world.now)
+    _, cold = restart_servers_of_a_part(world, warm=1)
+    brain = world.brain
     world.run(2, report_all)
     no_withdrawals = [False] * len(brain.server_ids)
     weight = brain._target_weights(no_withdrawals)[cold[0]]
