Failing test: a proxy that rejoins just before a reload is never bound again

On the real program over loopback: proxy 1 leaves and joins again, the old connections for news have yet to tell it, and the new address already lists it as joined. The program leaves the old connections with the first ping of the new ones. No order for the proxy follows within 10 s, neither where the old address would have told the rejoin a moment later nor where it ends without a word.

--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 
 import msgspec
 import pytest
@@ -46,6 +47,40 @@
         return stderr
 
 
+@pytest.mark.parametrize("old_address", ["tells later", "never tells"])
+def test_a_rejoin_that_the_old_relay_address_has_not_told_before_a_reload_is_bound_again(tmp_path, other, old_address):
+    """Guards against proxies that are never bound again, since the new address lists them as the old one did."""
+    first = Platform(serve=False)
+    program = Process(tmp_path, first)
+    process = program.start()
+    first.until(lambda: len(first.watches) >= 2)
+    first.join(0, 1)
+    first.until(lambda: {0, 1} <= set(first.applied_state()[1]))
+    other.proxies = {0: False, 1: False}  # proxy 1 has left and joined again, which is still under way below
+    program.file.write_bytes(program.text(distributor={"address": format_address(other.relay.address)}))
+    process.send_signal(signal.SIGHUP)
+    run_until(other.loop, lambda: len(other.watches) >= 2)
+    if old_address == "tells later":
+        first.notify_all("CLOSED", id=1)
+        first.notify_all("SUBSCRIBE", id=1, site="east", rps=2.0, new=False)
+        first.notify_all("ping")
+    else:
+        for stream in first.watches:
+            stream.abort("over")
+
+    def bound_again() -> bool:
+        first.loop.turn(time.monotonic() + 0.005)
+        other.notify_all("ping")
+        orders = [order for calls in first.applied + other.applied for order in calls]
+        bindings = Counter(order["id"] for order in orders if order["do"] == "attach")
+        assert bindings[0] == 1 or old_address == "never tells"  # it has its table
+        return bindings[1] == 2
+
+    run_until(other.loop, bound_again)
+    program.terminate()
+    first.close()
+
+
 def test_a_truncated_configuration_is_read_again_until_complete(tmp_path, other):
     first = Platform(serve=False)
     program = Process(tmp_path, first)
