After a reload the old news connections are left once nothing before the new ones is missed

Callers saw: after SIGHUP proxies of one supervisor went on with the table that they had; they sent to servers that drained later, and full lines to servers that restarted cold. Cause: `Follower._data` closed the connection to the old address with the first ping of the new one, and `JoinState.reader_ended(by_choice=True)` took the old one as complete up to that moment if its last line was under 1.8 s old. A proxy that left and joined again before the new connection began, and whose two lines the old one had yet to deliver, is listed by the new one as it was: its table was never sent again, for good.

Now the old connection is followed until one that continues the coverage has delivered a line from after the start of the new one (in order, so all before has been told), until it has been silent for 1.8 s, or until it ends; in the last two cases all joins from before are reported once more. That needs no special case, so `by_choice` is gone.

test_a_healthy_connection_that_is_closed_by_choice_leaves_no_gap asserted the fault (no line for 1.5 s, and no gap): its successor wants the gap reported unless the old connection has told something since.

--- a/driftshed/node/notifications.py
+++ b/driftshed/node/notifications.py
@@ -37,6 +37,10 @@
             self.until = now
             self.readers = dict.fromkeys(self.readers, True)
 
+    def includes(self, reader: NotificationReader) -> bool:
+        """Whether an open connection continues the coverage, so that no other is needed for what was before it."""
+        return self.readers.get(reader, False)
+
     def end(self, reader: NotificationReader) -> bool:
         """Removes a connection. Returns whether none of the others continues the coverage, so that there is a gap
         between `until` and the start of the longest open one, which begins the coverage anew."""
@@ -83,11 +87,8 @@
         if self.coverage.begin(reader):
             self.in_doubt = set(self.joined)
 
-    def reader_ended(self, reader: NotificationReader, now: float, by_choice: bool) -> list:
-        """Records the end of a connection. `by_choice`: it was closed here, so unless it was silent it covers the time
-        up to `now`. Returns the joins that are reported once more."""
-        if by_choice and now - reader.received_at <= NOTIFICATION_TIMEOUT_S:
-            self.coverage.extend(reader, now)
+    def reader_ended(self, reader: NotificationReader) -> list:
+        """Records the end of a connection. Returns the joins that are reported once more."""
         if not self.coverage.end(reader):
             return []
         self.in_doubt |= {proxy for proxy in self.joined if self.transition_at[proxy] <= self.coverage.until}
@@ -194,9 +195,15 @@
         self.position[event.proxy] = count | 1
         return gone + self.join_state.apply(event, count | 1, now) + self.join_state.resolve_doubt(event)
 
-    def close(self, now: float, by_choice: bool) -> list:
+    def close(self) -> list:
         """Records the end of the connection, as `JoinState.reader_ended` does. Returns the events."""
-        return self.join_state.reader_ended(self, now, by_choice)
+        return self.join_state.reader_ended(self)
+
+    @property
+    def stands_alone(self) -> bool:
+        """Whether the initial read is complete and an older connection has delivered a line after it began, so that all
+        changes before it have been reported."""
+        return self.synced and self.join_state.coverage.includes(self)
 
     def _finish_initial(self, now: float) -> list:
         """Completes the initial read: proxies known as joined that were not in it have left meanwhile."""
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -435,6 +435,7 @@
         self.service = service
         self.previous_link: Link | None = None
         self.previous_reader: NotificationReader | Watch | None = None
+        self.moved_at = 0.0  # when the address was last left
         self.synced = False  # the initial read was complete once, on any connection
         self._connect(address)
 
@@ -452,21 +453,26 @@
 
     def _handle_loss(self, link: Link, reason: str) -> None:
         self.service._log_limited(f"{self.name}_lost", reason=reason)
-        self.handle_end(self.reader if link is self.link else self.previous_reader, by_choice=False)
+        self.handle_end(self.reader if link is self.link else self.previous_reader)
 
-    def handle_end(self, reader: NotificationReader | Watch, by_choice: bool) -> None:
-        """Called when the connection of a reader has ended. `by_choice`: it was healthy and closed here."""
+    def handle_end(self, reader: NotificationReader | Watch) -> None:
+        """Called when the connection of a reader has ended."""
+
+    def may_leave_previous(self) -> bool:
+        """Whether nothing is missed without the connection to the address before."""
+        return self.reader.synced
 
     def move(self, address: tuple[str, int]) -> None:
-        """Connects to a new address. The old connection is followed until the new one has synced, or until the old
-        side closes it."""
+        """Connects to a new address. The old connection is followed until nothing is missed without it, it goes silent,
+        or the old side closes it."""
         reader, link = self.reader, self.link
         if self.previous_link is not None and self.previous_link.connected:
             link.close()  # not synced yet: the previous link continues until another has synced
         else:
             self.previous_link, self.previous_reader, link.closed = link, reader, True
+            self.moved_at = self.service.loop.clock()
             if link.connected:
-                link.stream.on_data = lambda data: self._feed(reader, link, data)
+                link.stream.on_data = lambda data: self._previous_data(reader, link, data)
             else:
                 link.close()
         self._connect(address)
@@ -480,12 +486,20 @@
         if self.reader.synced:
             self.synced = True
             self.link.reset_backoff()
-            if self.previous_link is not None:
-                self.handle_end(self.previous_reader, by_choice=True)
-                self.previous_link.close()
-                self.previous_link = self.previous_reader = None
+            self._leave_previous()
         self.service.check_ready()
 
+    def _previous_data(self, reader: NotificationReader | Watch, link: Link, data: bytes) -> None:
+        self._feed(reader, link, data)
+        self._leave_previous()
+
+    def _leave_previous(self) -> None:
+        """Closes the connection to the address before, once nothing is missed without it."""
+        if self.previous_link is not None and self.may_leave_previous():
+            link = self.previous_link
+            link.close()
+            self.previous_link = self.previous_reader = None
+
     def _feed(self, reader: NotificationReader | Watch, link: Link, data: bytes) -> None:
         try:
             self.service.handle_events(reader.feed(data, self.service.loop.clock()))
@@ -500,6 +514,10 @@
         never complete a line."""
         if self.link.connected and now - max(self.opened_at, self.reader.received_at) > self.silence_timeout:
             self.link.drop("silent")
+        previous = self.previous_link
+        if previous is not None and previous.connected:
+            if now - max(self.moved_at, self.previous_reader.received_at) > self.silence_timeout:
+                previous.drop("silent")
 
 
 class Watcher(Follower):
@@ -511,9 +529,14 @@
         """A reader that merges this connection into the shared state of joined proxies."""
         return NotificationReader(self.service.host.codec, self.service.host.join_state)
 
-    def handle_end(self, reader: NotificationReader, by_choice: bool) -> None:
+    def handle_end(self, reader: NotificationReader) -> None:
         """Passes on the joins that the end of this connection puts in doubt."""
-        self.service.handle_events(reader.close(self.service.loop.clock(), by_choice))
+        self.service.handle_events(reader.close())
+
+    def may_leave_previous(self) -> bool:
+        """Guards against proxies that left and joined again before the new connection began, which the old one has yet
+        to report: the new one lists them as they were."""
+        return self.reader.stands_alone
 
     def check(self, now: float) -> None:
         """Also corrects proxies whose state this connection has contradicted for longer than the maximum lag."""
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -101,7 +101,7 @@
                     connections[k] = Connection(relay, joins, now)
             elif busy and random.random() < 0.004:  # it breaks and loses the lines in flight
                 lost += 1
-                joined_at |= {event.proxy: now for event in connection.reader.close(now, by_choice=False)}
+                joined_at |= {event.proxy: now for event in connection.reader.close()}
                 connections[k], reconnect_at[k] = None, now + random.choice([0.0, 0.0, 0.02, 0.3, 3.0])
             elif busy and random.random() < 0.002:  # it stalls, and later lines arrive late
                 connection.stalled_until = now + random.uniform(0.0, 2 * NOTIFICATION_TIMEOUT_S)
@@ -119,7 +119,7 @@
                     and now - max(connection.opened_at, connection.reader.received_at) > NOTIFICATION_TIMEOUT_S
                 ):
                     lost += 1
-                    events += connection.reader.close(now, by_choice=False)
+                    events += connection.reader.close()
                     connections[k], reconnect_at[k] = None, now
                 elif connection:
                     events += connection.reader.reconcile()
@@ -187,7 +187,7 @@
     """Guards against a proxy that left and rejoined while no connection was open: it is listed as it was before."""
     joins = JoinState()
     first, _ = synced_reader(joins, 0.0, line("SUBSCRIBE", 1), line("SUBSCRIBE", 2), line("ping"))
-    assert first.close(3.0, by_choice=False) == []
+    assert first.close() == []
     second, _ = synced_reader(joins, 4.0)
     assert [event.proxy for event in second.feed(line("SUBSCRIBE", 1, new=False), 4.2)] == [1]
     third, events = synced_reader(joins, 4.3, line("SUBSCRIBE", 1, new=False))
@@ -201,15 +201,20 @@
     first, _ = synced_reader(joins, 0.0, line("SUBSCRIBE", 1), line("ping"))
     second, events = synced_reader(joins, 1.5, line("SUBSCRIBE", 1, new=False), line("ping"))
     assert events == []  # the first one may be well
-    assert [event.proxy for event in first.close(1.9, by_choice=False)] == [1]
+    assert [event.proxy for event in first.close()] == [1]
     third, events = synced_reader(joins, 2.0, line("SUBSCRIBE", 1, new=False), line("ping"))
     second.feed(line("ping"), 2.5)
-    assert events == [] and second.close(2.6, by_choice=False) == [] and sorted(joins.joined) == [1]
+    assert events == [] and second.close() == [] and sorted(joins.joined) == [1]
 
 
-@pytest.mark.parametrize(("closed_at", "reported"), [(1.5, []), (4.0, [1])])
-def test_a_healthy_connection_that_is_closed_by_choice_leaves_no_gap(closed_at, reported):
+@pytest.mark.parametrize(("told", "reported"), [(True, []), (False, [1])])
+def test_a_connection_is_needed_until_it_has_told_something_since_the_next_one_began(told, reported):
+    """Guards against changes from before the next connection began that the first has not delivered."""
     joins = JoinState()
     first, _ = synced_reader(joins, 0.0, line("SUBSCRIBE", 1), line("ping"))
-    synced_reader(joins, 1.0, line("SUBSCRIBE", 1, new=False), line("ping"))
-    assert [event.proxy for event in first.close(closed_at, by_choice=True)] == reported
+    second, _ = synced_reader(joins, 1.0, line("SUBSCRIBE", 1, new=False), line("ping"))
+    assert not second.stands_alone
+    if told:
+        assert first.feed(line("ping"), 1.2) == []
+    assert second.stands_alone == told
+    assert [event.proxy for event in first.close()] == reported
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -481,6 +481,7 @@
 
     def moved() -> bool:
         loops[1].turn(time.monotonic() + 0.005)
+        platform.notify_all("ping")  # the old address goes on
         old = [*platform.watches, *platform.lists, *platform.streams]
         return len(other.watches) == 2 and len(other.lists) == 1 and not any(stream.sock for stream in old)
 
