A cold server that does worse than its warmth explains stays at its first entry step

Cause: slow start went by the age of a server alone. On a machine that is slow it was led through all entry steps, up to 2.7 times what its age lets expect; complaints count after 6 s; and a restart forgot the complaints and the learnt factor.

Now a zone's view of a cold server that errs unusually, or answers slower than its warmth explains, sets it back to the first entry step for as long as a complaint lasts; it then takes the steps again. A server that was complained of or withdrawn before its restart begins so, and one that is known starts with the lower of its own factor and that of its kind. No new limit is set: the thresholds are those of complaints. The class: a promise (age, listing) taken for an observation.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -9,7 +9,8 @@
 
  1. List changes: a draining or gone server loses its line at once, outside the caps; where proxies wait for their table
     it is withdrawn.
- 2. Slow start: a cold server gets no more weight than it can certainly bear by now, and no more of all tries.
+ 2. Slow start: a cold server gets no more weight than it can certainly bear by now, and no more of all tries; one that
+    does worse than its warmth explains, or did before it restarted, stays at the first entry step.
  3. Minimum availability: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go out one marked round at a time; capacity is reserved for urgent ones.
  5. Tries and levels: under strain, further tries are cut first, then admission, the lowest value first.
@@ -133,7 +134,7 @@
         self.slot_of = {}  # slot of each server, by id
         self.gone_slots = {}  # slots of servers that are gone, the longest gone first
         # Servers: parallel arrays, indexed by slot.
-        self.server_arrays = [[] for _ in range(17)]
+        self.server_arrays = [[] for _ in range(18)]
         self.server_ids = self.server_arrays[0]
         self.kind = self.server_arrays[1]
         self.state = self.server_arrays[2]
@@ -153,6 +154,7 @@
         self.withdrawal_sent = self.server_arrays[14]  # time when a withdrawal was last ordered
         self.left_at = self.server_arrays[15]  # time since when the server is not ready
         self.line_sent = self.server_arrays[16]  # time when the present line was ordered
+        self.held_until = self.server_arrays[17]  # time until which a cold server stays at its first entry step
         # What each zone observes of each server: parallel arrays, indexed by zone and slot.
         self.zone_arrays = [[[] for _ in zones] for _ in range(5)]
         self.reports = self.zone_arrays[0]  # queues of time, tries, errored tries, latency
@@ -293,11 +295,11 @@
         if not self.line_weight[i] and not self.withdrawn[i]:
             self.part[i] = self._choose_part(entry)
         if entry.state == face.READY and (self.state[i] != face.READY or started > self.started[i]):
+            if self._is_complained_of(i):
+                self.held_until[i] = self.now + COMPLAINT_EXPIRY_S  # a restart does not mend a slow machine
             self._begin_entry(i, LONG_AGO if self.awaiting_first_list else self.now)
             if (started > self.started[i] or is_new) and not self.awaiting_first_list:
-                # A server that starts now begins with the factor learnt for its kind, not with an average one.
-                same_kind = [k for servers in self._ready_by_part() for k in servers if self.kind[k] == entry.kind]
-                self.factor[i] = median([self.factor[k] for k in same_kind if k != i]) or 1.0
+                self.factor[i] = self._starting_factor(i, entry.kind, is_new)
         self._set_state(i, entry.state)
         self.started[i] = max(started, self.started[i])
         self.gone_slots.setdefault(i) if entry.state == face.GONE else self.gone_slots.pop(i, None)
@@ -305,6 +307,19 @@
             self.listed_weight[i] = entry.weight
         self._update_tally(i, 1)
 
+    def _starting_factor(self, i: int, kind: int, is_new: bool) -> float:
+        """The factor of a server that starts: that learnt for its kind, or its own where it did worse before."""
+        same_kind = [k for servers in self._ready_by_part() for k in servers if self.kind[k] == kind and k != i]
+        learnt = median([self.factor[k] for k in same_kind]) or 1.0
+        return learnt if is_new else min(learnt, self.factor[i])
+
+    def _is_complained_of(self, i: int) -> bool:
+        """Whether a server is withdrawn for health, or a zone's complaint of it has not expired."""
+        zones = zip(self.complaint_since, self.complaint_renewed, strict=True)
+        unexpired = self.now - COMPLAINT_EXPIRY_S
+        complained = any(since[i] is not None and renewed[i] > unexpired for since, renewed in zones)
+        return complained or self.withdrawn_at[i] is not None
+
     def _set_state(self, i: int, state: int) -> None:
         """Sets the listed state of a server."""
         if self.state[i] == face.READY:
@@ -326,7 +341,7 @@
             del self.slot_of[self.server_ids[i]], self.gone_slots[i]
         self.slot_of[entry.server] = i
         initial = entry.server, entry.kind, face.GONE, LONG_AGO, LONG_AGO, None, 1.0, 1.0, [0.0] * 3, [0.0] * 3
-        initial = *initial, None, 0, 0.0, False, LONG_AGO, self.now, LONG_AGO
+        initial = *initial, None, 0, 0.0, False, LONG_AGO, self.now, LONG_AGO, LONG_AGO
         for array, value in zip(self.server_arrays, initial, strict=True):
             array[i : i + 1] = [value]
         for zone in range(len(self.reports)):
@@ -448,12 +463,9 @@
         baseline = self.baseline[zone][i]
         slowness = latency / baseline if latency is not None and baseline else 0.0
         self._record_view(zone, i, slowness, error_share)
-        # Guards against complaints of the noisiest servers in a fleet-wide fault (overload, a slow dependency of all):
-        # what a zone observes at most of its servers raises no complaint. This misses half of a fleet that fails
-        # together. In place of the design's 50 ms: the answers of a slow server exceed the latency objective.
-        is_slow = latency is not None and latency > self._mean_objective()
-        is_slow = is_slow and slowness > SLOW_LATENCY_RATIO * max(1.0, self.median_slowness[zone].value())
-        if is_slow or error_share > max(ERROR_SHARE, SLOW_LATENCY_RATIO * self.median_error_share[zone].value()):
+        if not self.is_warm(i) and self._is_unusual(zone, latency, slowness * self.warmth(i), error_share):
+            self.held_until[i] = self.now + COMPLAINT_EXPIRY_S
+        if self._is_unusual(zone, latency, slowness, error_share):
             expired = (
                 self.complaint_since[zone][i] is None or self.complaint_renewed[zone][i] < self.now - COMPLAINT_EXPIRY_S
             )
@@ -466,6 +478,17 @@
                 latency if baseline is None else baseline + self.baseline_gain * (latency - baseline)
             )
 
+    def _is_unusual(self, zone: int, latency: float | None, slowness: float, error_share: float) -> bool:
+        """Whether a zone observes a server that is slower, or errs more, than usual and than most of its servers.
+
+        Guards against complaints of the noisiest servers in a fleet-wide fault (overload, a slow dependency of all).
+        This misses half of a fleet that fails together. In place of the design's 50 ms: the answers of a slow server
+        exceed the latency objective.
+        """
+        is_slow = latency is not None and latency > self._mean_objective()
+        is_slow = is_slow and slowness > SLOW_LATENCY_RATIO * max(1.0, self.median_slowness[zone].value())
+        return is_slow or error_share > max(ERROR_SHARE, SLOW_LATENCY_RATIO * self.median_error_share[zone].value())
+
     def _record_view(self, zone: int, i: int, slowness: float, error_share: float) -> None:
         """Replaces a zone's view of a server and removes the views that have left the window."""
         recent = self.recent_views[zone]
@@ -499,6 +522,11 @@
         """Whether a server is ready and past its warm-up."""
         return self.state[i] == face.READY and self.now - self.started[i] >= self.warm_within
 
+    def warmth(self, i: int) -> float:
+        """The share of its usual capacity that a server certainly has by now, as of its last full entry step."""
+        age = min(self.now - self.started[i], self.warm_within + ENTRY_STEP_S) // ENTRY_STEP_S * ENTRY_STEP_S
+        return min(1.0, self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within)
+
     # ---- health, factors and admission ----
 
     def _evaluate_health(self) -> None:
@@ -690,7 +718,7 @@
                 part_rate[each] += self.rate[proxy]
         answerable_share = min(self.answerable_share, self.answerable_rate / (total_rate or 1.0))
         for part, servers in enumerate(by_part):
-            steps = {i: min(99.0, (self.now - self.entered[i]) // ENTRY_STEP_S) for i in servers}
+            steps = {i: self._entry_step(i) for i in servers}
             settled_weight = sum(
                 self.listed_weight[i] for i in servers if steps[i] >= ENTRY_STEPS and self.withdrawn_at[i] is None
             )
@@ -699,14 +727,13 @@
                 weights[i] = self.listed_weight[i] * self.factor[i]
                 # Entry steps assume that other servers carry the rest. While most of the part is still entering they
                 # would overload the few that are in service, so then only the limit of a cold server applies.
-                if not entering:
+                if not entering or self.now < self.held_until[i]:
                     weights[i] = min(weights[i], entry_weight * 2 ** steps[i])
             # Guards against queues at a server that is half warm: no more weight than it can certainly serve by now.
             cold_limit, self.bearable_share[part] = {}, 0.0
             for i in servers:
-                age = (self.now - self.started[i]) // ENTRY_STEP_S * ENTRY_STEP_S
-                if age < self.warm_within:
-                    warmth = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within
+                warmth = self.warmth(i)
+                if warmth < 1:
                     weights[i] = min(weights[i], self.listed_weight[i] * warmth)
                     bearable = (
                         warmth
@@ -730,6 +757,11 @@
                     weights[i] = min(weights[i], share * warm_weight / (1 - sum(cold_limit.values())))
         return weights
 
+    def _entry_step(self, i: int) -> float:
+        """The entry step of a server, from 0."""
+        begun_at = max(self.entered[i], self.held_until[i])
+        return max(0.0, min(99.0, (self.now - begun_at) // ENTRY_STEP_S))
+
     def weight_in_force(self, i: int) -> float:
         """The weight with which proxies may pick a server by the orders sent so far."""
         return 0.0 if self.withdrawn[i] else self.line_weight[i]
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -7,7 +7,7 @@
 
 from driftshed import interface as face
 from tests.cold_fleets import REDIAL_S, BrokenStreams, ColdFleet, random_restarts
-from tests.helpers import SimulatedFleet
+from tests.helpers import SimulatedFleet, server
 from tests.takeovers import server_id
 from tests.test_rules import report_all
 
@@ -144,6 +144,33 @@
     assert (brain._target_weights(no_withdrawals)[cold[0]] < weight) == fresh
 
 
+@pytest.mark.parametrize("failing_from", ["the start on", "before the restart"])
+def test_a_restarted_server_that_fails_takes_no_further_entry_step(failing_from):
+    """Guards against a cold server on a slow machine that gets ever more work by its age alone."""
+    world = SimulatedFleet()
+    sick, healthy = server(3), server(5)
+    world.run(10, report_all)
+
+    def report_failing(world: SimulatedFleet) -> None:
+        report_all(world)
+        if failing_from == "the start on" and world.is_usable(sick):
+            world.report(sick, errored=5)
+
+    if failing_from == "before the restart":
+        world.run(3, lambda world: (report_all(world), world.report(sick, errored=5)))
+    for name in (sick, healthy):
+        world.list_server(name, face.READY, started=world.now)
+    heaviest = 0.0
+
+    def judge(world: SimulatedFleet) -> None:
+        nonlocal heaviest
+        heaviest = max(heaviest, world.lines.get(sick, 0.0))
+
+    world.run(1, report_failing)
+    world.run(9, report_failing, judge)
+    assert heaviest <= 0.21 < 0.5 < world.lines[healthy]
+
+
 def test_cold_servers_are_not_overloaded_by_a_sudden_crowd_of_proxies():
     """Guards against a limit that follows a rise of all arrivals by three quarters only with the reports."""
     fleet = play_restarts(124)
