--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -19,7 +19,7 @@
 from driftshed import interface as face
 from driftshed.brain import Brain
 from driftshed.core.instance import Instance
-from driftshed.net.http import Bounds
+from driftshed.net.http_server import Bounds
 from driftshed.net.loop import Loop
 from driftshed.supervisor.flags import FLAGS, read_operation, start_facts
 from driftshed.supervisor.service import Service
--- a/benchmarks/proxies.py
+++ b/benchmarks/proxies.py
@@ -18,7 +18,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from driftshed.net.http import HttpClient, HttpServer
+from driftshed.net.http import HttpClient
+from driftshed.net.http_server import HttpServer
 from driftshed.net.loop import Loop
 
 SERVER, PROXY = ("127.0.0.1", 18110), ("127.0.0.1", 18111)
--- a/driftshed/day/stage.py
+++ b/driftshed/day/stage.py
@@ -21,7 +21,8 @@
 from driftshed.day.recorder import CLIENT, CONTROL, ORDER, ROSTER, STORE, STORED, WORK, Recorder
 from driftshed.day.relay import Relay
 from driftshed.day.tamper import RULES, Tamper
-from driftshed.net.http import Answer, HttpClient, HttpServer
+from driftshed.net.http import Answer, HttpClient
+from driftshed.net.http_server import HttpServer
 from driftshed.net.loop import Loop
 from driftshed.policy import document as policies
 from driftshed.standins.client import ClientStandin
--- a/driftshed/day/tiers.py
+++ b/driftshed/day/tiers.py
@@ -34,7 +34,8 @@
 from driftshed.day.relay import Relay
 from driftshed.day.stage import reserve_network
 from driftshed.day.traffic import read_traffic
-from driftshed.net.http import Answer, HttpClient, HttpServer, Request
+from driftshed.net.http import Answer, HttpClient
+from driftshed.net.http_server import HttpServer, Request
 from driftshed.net.loop import Loop
 
 NAME = "tiers"
--- a/driftshed/lab/virtual.py
+++ b/driftshed/lab/virtual.py
@@ -11,7 +11,8 @@
 from heapq import heappush
 from random import Random
 
-from driftshed.net.http import Answer, Bounds, Call, HttpClient, Request, Transport
+from driftshed.net.http import Answer, Call, HttpClient, Transport
+from driftshed.net.http_server import Bounds, Request
 from driftshed.net.loop import MAX_CANCELLED_TIMERS, Timer, Timers
 
 RETRANSMIT_DELAY_S, MAX_RETRANSMIT_DELAY_S = 0.2, 6.4  # doubles with each loss
--- /dev/null
+++ b/driftshed/net/http_server.py
@@ -0,0 +1,260 @@
+"""An HTTP/1.1 server on the loop with bounds on all its resources."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple
+
+import httptools
+
+from driftshed.net.loop import Loop, Timer
+from driftshed.net.stream import Listener, Stream
+
+PHRASES = {status.value: status.phrase for status in HTTPStatus}
+MAX_PIPELINED = 16  # requests of a connection queued behind the one being answered
+
+
+class Bounds(NamedTuple):
+    """Limits of a server: sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 1 << 20
+    out_bytes: int = 4 << 20
+    connections: int = 16384
+    request_timeout: float = 10.0  # from the first byte of a request to its last
+    idle_for: float = 75.0  # a connection without a request is closed after this
+
+
+class Request:
+    """One request and its one answer. `on_gone` is called if the connection ends before the answer."""
+
+    __slots__ = ("method", "path", "query", "headers", "body", "connection", "on_gone", "answered", "keep")
+
+    def __init__(self, connection: ServerConnection) -> None:
+        """The connection fills in the request while it is received."""
+        self.connection = connection
+        self.method, self.path, self.query, self.body = "", "", "", b""
+        self.headers: dict[bytes, bytes] = {}
+        self.on_gone: Callable[[], object] | None = None
+        self.answered, self.keep = False, True
+
+    def answer(self, status: int, body: bytes = b"", kind: str = "application/json", extra: str = "") -> None:
+        """Sends the answer. `extra` is complete header lines, each ended by CR LF. Has no effect after the first call,
+        or once the connection has ended."""
+        if self.answered:
+            return
+        self.answered, self.on_gone = True, None
+        self.connection._send_answer(self, status, body, kind, extra)
+
+
+class ServerConnection:
+    """One connection of a server: requests are answered one at a time, in the order of arrival."""
+
+    __slots__ = (
+        "server",
+        "stream",
+        "parser",
+        "request",
+        "waiting",
+        "head_size",
+        "timer",
+        "broken",
+        "target",
+        "headers_complete",
+    )
+
+    def __init__(self, server: HttpServer, stream: Stream) -> None:
+        """Takes over the callbacks of the stream."""
+        self.server, self.stream = server, stream
+        self.parser = httptools.HttpRequestParser(self)
+        self.request: Request | None = None  # being received
+        self.waiting: deque[Request] = deque()  # received; the first is being answered
+        self.head_size, self.broken, self.target, self.headers_complete = 0, 0, b"", False
+        stream.on_data, stream.on_end = self._on_data, self._on_end
+        self.timer: Timer | None = None
+        self._set_timer(server.bounds.idle_for, self._on_idle)
+
+    @property
+    def peer(self) -> tuple[str, int]:
+        """The address and port of the client."""
+        return self.stream.peer
+
+    def _set_timer(self, seconds: float, call: Callable[[], object]) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.server.loop.after(seconds, call)
+
+    def _on_idle(self) -> None:
+        self.stream.abort("idle")
+
+    def _on_request_timeout(self) -> None:
+        self._reject(408, "the request was not whole in time")
+
+    def _on_data(self, data: bytes) -> None:
+        if self.broken:
+            return
+        if self.request is None and not self.waiting:
+            self._set_timer(self.server.bounds.request_timeout, self._on_request_timeout)
+        self.head_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.broken = self.broken or 400
+        except httptools.HttpParserError:
+            self.broken = self.broken or 400
+        if self.broken:
+            reasons = {413: "the body is too large", 431: "the headers are too large"}
+            self._reject(self.broken, reasons.get(self.broken, "this is not HTTP/1.1 as we speak it"))
+            return
+        bounds = self.server.bounds
+        if self.request is not None and not self.headers_complete and self.head_size > bounds.header_bytes:
+            self._reject(431, "the headers are too large")
+        elif len(self.waiting) > MAX_PIPELINED:
+            self.stream.pause(True)
+
+    # ---- callbacks of the parser ----
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self.request, self.target, self.headers_complete = Request(self), b"", False
+
+    def on_url(self, url: bytes) -> None:
+        """Collects the request target, which may come in pieces."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header under its lower-case name; a repeated one replaces the first."""
+        self.request.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        """Rejects a declared body length above the bound; raises ValueError to stop the parser."""
+        self.headers_complete = True
+        length = self.request.headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self.server.bounds.body_bytes:
+            self.broken = 413
+            raise ValueError("too large")
+
+    def on_body(self, body: bytes) -> None:
+        """Collects the body; raises ValueError to stop the parser above the bound."""
+        self.request.body += body
+        if len(self.request.body) > self.server.bounds.body_bytes:
+            self.broken = 413
+            raise ValueError("too large")
+
+    def on_message_complete(self) -> None:
+        """Queues the request, and has it handled if no other waits for its answer."""
+        request, self.request, self.head_size = self.request, None, 0
+        request.method = self.parser.get_method().decode("ascii", "replace")
+        path, _, request.query = self.target.decode("latin-1").partition("?")
+        request.path, request.keep = path, self.parser.should_keep_alive()
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        self.waiting.append(request)
+        if len(self.waiting) == 1:
+            self._handle_next()
+
+    def _handle_next(self) -> None:
+        if self.waiting and not self.waiting[0].answered:
+            self.server.handle(self.waiting[0])
+
+    def _send_answer(self, request: Request, status: int, body: bytes, kind: str, extra: str) -> None:
+        if self.stream.sock is None:
+            return
+        keep = request.keep and not self.server.closing
+        last_header = "\r\n" if keep else "connection: close\r\n\r\n"
+        head = (
+            f"HTTP/1.1 {status} {PHRASES.get(status, 'Other')}\r\ncontent-type: {kind}\r\n"
+            f"content-length: {len(body)}\r\n{extra}{last_header}"
+        )
+        self.stream.write(head.encode("latin-1") + body)
+        if self.waiting and self.waiting[0] is request:
+            self.waiting.popleft()
+        if not keep:
+            self.stream.finish()
+            return
+        if self.stream.sock is None:
+            return
+        if self.waiting:
+            self.server.loop.soon(self._handle_next)
+        elif self.request is None:
+            self._set_timer(self.server.bounds.idle_for, self._on_idle)
+        if self.stream.paused and len(self.waiting) <= MAX_PIPELINED / 2:
+            self.stream.pause(False)
+
+    def _reject(self, status: int, reason: str) -> None:
+        """Answers a request that cannot be read with an error, and ends the connection."""
+        self.broken = self.broken or status
+        if self.waiting:  # answers before it are still due, and an error must not overtake them
+            self.stream.abort("malformed")
+            return
+        request = self.request or Request(self)
+        request.keep = False
+        request.answer(status, self.server.refusal(reason))
+
+    def _on_end(self, reason: str) -> None:
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        self.server.connections.pop(self, None)
+        waiting, self.waiting, self.request = self.waiting, deque(), None
+        for request in waiting:
+            request.answered = True
+            if request.on_gone:
+                on_gone, request.on_gone = request.on_gone, None
+                on_gone()
+        self.parser = None
+        if self.server.on_connection_end:
+            self.server.on_connection_end(self, reason)
+
+
+class HttpServer:
+    """Serves `handle(request)` at one address. `refusal(reason)` returns the body of an error answer to a malformed
+    request or a rejected connection."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        handle: Callable[[Request], object],
+        bounds: Bounds = Bounds(),
+        refusal: Callable[[str], bytes] = lambda reason: reason.encode(),
+        shared: bool = False,
+    ) -> None:
+        """Raises OSError if the address is not available. `shared`: other processes may listen at the same address."""
+        self.loop, self.handle, self.bounds, self.refusal = loop, handle, bounds, refusal
+        self.connections: dict[ServerConnection, None] = {}  # in the order of acceptance
+        self.on_connection_end: Callable[[ServerConnection, str], object] | None = None
+        self.on_connection: Callable[[Stream], object] | None = None
+        self.closing = False
+        self.rejected_connections = 0
+        self.listener = Listener(loop, address, self._accept, bounds.out_bytes, shared)
+        self.address = self.listener.address
+
+    def _accept(self, stream: Stream) -> None:
+        if self.on_connection:
+            self.on_connection(stream)
+        if len(self.connections) >= self.bounds.connections:
+            self.rejected_connections += 1
+            body = self.refusal("too many connections; come back later")
+            stream.write(
+                b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: "
+                + str(len(body)).encode()
+                + b"\r\n\r\n"
+                + body
+            )
+            stream.finish()
+            return
+        if stream.sock is not None:
+            self.connections[ServerConnection(self, stream)] = None
+
+    def close(self, now: bool = True) -> None:
+        """Stops listening. With `now` all connections end at once; else idle ones do, and the others after their next
+        answer."""
+        self.closing = True
+        self.listener.close()
+        for connection in list(self.connections):
+            if now or not connection.waiting:
+                connection.stream.abort("closed")
--- a/driftshed/proxy/assembly.py
+++ b/driftshed/proxy/assembly.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from driftshed import interface as face
-from driftshed.net.http import SOCKETS, Bounds, Transport
+from driftshed.net.http import SOCKETS, Transport
+from driftshed.net.http_server import Bounds
 from driftshed.net.loop import Timers
 from driftshed.proxy.follow import SUPERVISOR_TIMEOUT_S, Follower, Log, ReportCounts
 from driftshed.proxy.forward import Forwarder, Limits
--- a/driftshed/proxy/command.py
+++ b/driftshed/proxy/command.py
@@ -13,7 +13,7 @@
 from driftshed.common.logs import LEVELS, make_log
 from driftshed.common.options import option
 from driftshed.core.messages import InvalidServerName, server_id
-from driftshed.net.http import Bounds
+from driftshed.net.http_server import Bounds
 from driftshed.net.loop import Loop
 from driftshed.proxy.assembly import Proxy, ProxyOptions
 from driftshed.proxy.follow import SUPERVISOR_TIMEOUT_S
--- a/driftshed/proxy/forward.py
+++ b/driftshed/proxy/forward.py
@@ -7,7 +7,8 @@
 from urllib.parse import parse_qsl
 
 from driftshed import interface as face
-from driftshed.net.http import SOCKETS, Answer, Bounds, Call, HttpClient, Request, Transport
+from driftshed.net.http import SOCKETS, Answer, Call, HttpClient, Transport
+from driftshed.net.http_server import Bounds, Request
 from driftshed.net.loop import Loop
 from driftshed.proxy.follow import ReportCounts
 from driftshed.proxy.retry import (
--- a/driftshed/standins/emulator.py
+++ b/driftshed/standins/emulator.py
@@ -10,7 +10,8 @@
 from random import Random
 from typing import NamedTuple
 
-from driftshed.net.http import SOCKETS, Bounds, HttpServer, Request, Transport
+from driftshed.net.http import SOCKETS, Transport
+from driftshed.net.http_server import Bounds, HttpServer, Request
 from driftshed.net.loop import Timer, Timers
 
 MAX_MARKS = 65536  # remembered marks (idempotency keys) of invocations that were started
--- a/driftshed/supervisor/command.py
+++ b/driftshed/supervisor/command.py
@@ -13,7 +13,7 @@
 from driftshed.common.logs import LEVELS, make_log
 from driftshed.common.options import option
 from driftshed.core.instance import Instance
-from driftshed.net.http import Bounds
+from driftshed.net.http_server import Bounds
 from driftshed.net.loop import Loop
 from driftshed.roster.command import check_root, parse_hosts
 from driftshed.roster.follow import RosterFollower
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -12,7 +12,8 @@
 from driftshed.core.hub import ProxyRecord, Refused
 from driftshed.core.instance import Instance
 from driftshed.core.messages import Join, JoinAnswer, Report, RosterUpdate, encode_json, server_name
-from driftshed.net.http import SOCKETS, Bounds, Request, ServerConnection, Transport
+from driftshed.net.http import SOCKETS, Transport
+from driftshed.net.http_server import Bounds, Request, ServerConnection
 from driftshed.net.loop import Loop, Timer
 
 DECODERS = {kind: msgspec.json.Decoder(kind) for kind in (Join, Report, RosterUpdate)}
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from driftshed.net.http import Bounds, HttpClient, HttpServer
+from driftshed.net.http import HttpClient
+from driftshed.net.http_server import Bounds, HttpServer
 from driftshed.net.loop import MAX_CANCELLED_TIMERS, Loop
 
 CONDITION_TIMEOUT_S = 10.0  # a condition that is not met by then fails the test
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -18,7 +18,8 @@
 from driftshed import interface as face
 from driftshed.cli import main
 from driftshed.core.messages import Changes, In, Level, Line, Out, Use
-from driftshed.net.http import Bounds, HttpClient, HttpServer
+from driftshed.net.http import HttpClient
+from driftshed.net.http_server import Bounds, HttpServer
 from driftshed.net.loop import Loop
 from driftshed.net.stream import Listener
 from driftshed.proxy.follow import MAX_UNSENT_PERIODS, Follower, ReportCounts
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,7 +14,8 @@
 from driftshed.coordination.handover import handover_interval
 from driftshed.core.instance import Instance
 from driftshed.core.messages import Changes, Line
-from driftshed.net.http import Bounds, HttpClient
+from driftshed.net.http import HttpClient
+from driftshed.net.http_server import Bounds
 from driftshed.net.loop import Loop
 from driftshed.supervisor.flags import read_operation
 from driftshed.supervisor.service import Service
