Requests of all connections together stay within one bound; a head has 128 fields at most

Cause: the HTTP server of supervise, proxy and the stand-ins bounded each connection (16 KiB of head, 1 MiB of body) and took 16,384 of them; a field of 5 bytes took some 250 in memory, and a body was copied once for each piece.

Now what requests take while they are received or answered is counted (Bounds.held_bytes, 32 MiB), with the fields' own cost. Beyond it the largest unfinished ones are answered 503, so clients with small requests are served meanwhile; a head with more than 128 fields is answered 431; a body is collected in place. Nothing that was read whole is given up for it.

--- a/driftshed/net/http_server.py
+++ b/driftshed/net/http_server.py
@@ -13,6 +13,7 @@
 from driftshed.net.stream import Listener, Stream
 
 PHRASES = {status.value: status.phrase for status in HTTPStatus}
+FIELD_BYTES = 256  # that a header field takes in memory beside its own bytes
 MAX_PIPELINED = 16  # requests of a connection queued behind the one being answered
 
 
@@ -20,7 +21,9 @@
     """Limits of a server: sizes in bytes, times in seconds."""
 
     header_bytes: int = 16384
+    header_fields: int = 128  # of one request
     body_bytes: int = 1 << 20
+    held_bytes: int = 32 << 20  # of the requests of all connections that are being received or answered
     out_bytes: int = 4 << 20
     connections: int = 16384
     request_timeout: float = 10.0  # from the first byte of a request to its last
@@ -30,7 +33,7 @@
 class Request:
     """One request and its one answer. `on_gone` is called if the connection ends before the answer."""
 
-    __slots__ = ("method", "path", "query", "headers", "body", "connection", "on_gone", "answered", "keep")
+    __slots__ = ("method", "path", "query", "headers", "body", "connection", "on_gone", "answered", "keep", "size")
 
     def __init__(self, connection: ServerConnection) -> None:
         """The connection fills in the request while it is received."""
@@ -39,6 +42,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.on_gone: Callable[[], object] | None = None
         self.answered, self.keep = False, True
+        self.size = 0  # bytes that it takes in memory
 
     def answer(self, status: int, body: bytes = b"", kind: str = "application/json", extra: str = "") -> None:
         """Sends the answer. `extra` is complete header lines, each ended by CR LF. Has no effect after the first call,
@@ -63,6 +67,8 @@
         "broken",
         "target",
         "headers_complete",
+        "fields",
+        "body",
     )
 
     def __init__(self, server: HttpServer, stream: Stream) -> None:
@@ -72,6 +78,7 @@
         self.request: Request | None = None  # being received
         self.waiting: deque[Request] = deque()  # received; the first is being answered
         self.head_size, self.broken, self.target, self.headers_complete = 0, 0, b"", False
+        self.fields, self.body = 0, bytearray()  # of the request being received
         stream.on_data, stream.on_end = self._on_data, self._on_end
         self.timer: Timer | None = None
         self._set_timer(server.bounds.idle_for, self._on_idle)
@@ -90,7 +97,7 @@
         self.stream.abort("idle")
 
     def _on_request_timeout(self) -> None:
-        self._reject(408, "the request was not whole in time")
+        self.reject(408, "the request was not whole in time")
 
     def _on_data(self, data: bytes) -> None:
         if self.broken:
@@ -106,11 +113,14 @@
             self.broken = self.broken or 400
         if self.broken:
             reasons = {413: "the body is too large", 431: "the headers are too large"}
-            self._reject(self.broken, reasons.get(self.broken, "this is not HTTP/1.1 as we speak it"))
+            self.reject(self.broken, reasons.get(self.broken, "this is not HTTP/1.1 as we speak it"))
+            return
+        self.server.enforce_held_bytes()
+        if self.broken:
             return
         bounds = self.server.bounds
         if self.request is not None and not self.headers_complete and self.head_size > bounds.header_bytes:
-            self._reject(431, "the headers are too large")
+            self.reject(431, "the headers are too large")
         elif len(self.waiting) > MAX_PIPELINED:
             self.stream.pause(True)
 
@@ -119,13 +129,31 @@
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.request, self.target, self.headers_complete = Request(self), b"", False
+        self.fields, self.body = 0, bytearray()
+
+    def _hold(self, size: int) -> None:
+        """Counts bytes of the request being received."""
+        self.request.size += size
+        self.server.held_bytes += size
+
+    def _release(self, request: Request) -> None:
+        """Counts a request off that is answered or given up."""
+        self.server.held_bytes -= request.size
+        request.size = 0
 
     def on_url(self, url: bytes) -> None:
         """Collects the request target, which may come in pieces."""
         self.target += url
+        self._hold(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header under its lower-case name; a repeated one replaces the first."""
+        """Stores a header under its lower-case name; a repeated one replaces the first. Raises ValueError to stop the
+        parser above the bound of their number."""
+        self.fields += 1
+        if self.fields > self.server.bounds.header_fields:
+            self.broken = 431
+            raise ValueError("too many")
+        self._hold(FIELD_BYTES + len(name) + len(value))
         self.request.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
@@ -138,14 +166,16 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects the body; raises ValueError to stop the parser above the bound."""
-        self.request.body += body
-        if len(self.request.body) > self.server.bounds.body_bytes:
+        self._hold(len(body))
+        self.body += body
+        if len(self.body) > self.server.bounds.body_bytes:
             self.broken = 413
             raise ValueError("too large")
 
     def on_message_complete(self) -> None:
         """Queues the request, and has it handled if no other waits for its answer."""
         request, self.request, self.head_size = self.request, None, 0
+        request.body, self.body = bytes(self.body), bytearray()
         request.method = self.parser.get_method().decode("ascii", "replace")
         path, _, request.query = self.target.decode("latin-1").partition("?")
         request.path, request.keep = path, self.parser.should_keep_alive()
@@ -161,6 +191,7 @@
             self.server.handle(self.waiting[0])
 
     def _send_answer(self, request: Request, status: int, body: bytes, kind: str, extra: str) -> None:
+        self._release(request)
         if self.stream.sock is None:
             return
         keep = request.keep and not self.server.closing
@@ -184,13 +215,13 @@
         if self.stream.paused and len(self.waiting) <= MAX_PIPELINED / 2:
             self.stream.pause(False)
 
-    def _reject(self, status: int, reason: str) -> None:
+    def reject(self, status: int, reason: str) -> None:
         """Answers a request that cannot be read with an error, and ends the connection."""
         self.broken = self.broken or status
         if self.waiting:  # answers before it are still due, and an error must not overtake them
             self.stream.abort("malformed")
             return
-        request = self.request or Request(self)
+        request, self.request, self.body = self.request or Request(self), None, bytearray()
         request.keep = False
         request.answer(status, self.server.refusal(reason))
 
@@ -199,8 +230,11 @@
             self.timer.cancel()
             self.timer = None
         self.server.connections.pop(self, None)
-        waiting, self.waiting, self.request = self.waiting, deque(), None
+        if self.request is not None:
+            self._release(self.request)
+        waiting, self.waiting, self.request, self.body = self.waiting, deque(), None, bytearray()
         for request in waiting:
+            self._release(request)
             request.answered = True
             if request.on_gone:
                 on_gone, request.on_gone = request.on_gone, None
@@ -230,6 +264,7 @@
         self.on_connection: Callable[[Stream], object] | None = None
         self.closing = False
         self.rejected_connections = 0
+        self.held_bytes = 0  # of the requests that are being received or answered
         self.listener = Listener(loop, address, self._accept, bounds.out_bytes, shared)
         self.address = self.listener.address
 
@@ -250,6 +285,18 @@
         if stream.sock is not None:
             self.connections[ServerConnection(self, stream)] = None
 
+    def enforce_held_bytes(self) -> None:
+        """Rejects the largest unfinished requests while all requests take more memory than the bound.
+
+        Guards against many clients each of which keeps within the bounds of one connection.
+        """
+        while self.held_bytes > self.bounds.held_bytes:
+            unfinished = [each for each in self.connections if each.request is not None and each.request.size]
+            if not unfinished:
+                return
+            largest = max(unfinished, key=lambda each: each.request.size)
+            largest.reject(503, "too much is being received from all clients; come back later")
+
     def close(self, now: bool = True) -> None:
         """Stops listening. With `now` all connections end at once; else idle ones do, and the others after their next
         answer."""
--- a/tests/test_client_pressure.py
+++ b/tests/test_client_pressure.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-
 MEMORY_LIMIT_MB = 192  # of a supervisor on the platform
 OPERATION = "look:objective=0.5,timeout=5,value=1,effect=idempotent"
 BODY_BYTES = 1 << 20
