--- a/tests/test_client_pressure.py
+++ b/tests/test_client_pressure.py
@@ -5,13 +5,21 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
+from collections.abc import Iterator
+from itertools import repeat
+from statistics import median
 
 import pytest
 
+from driftshed.roster.jute import ConnectRequest, write_connect_request
+
 MEMORY_LIMIT_MB = 192  # of a supervisor on the platform
+LATE_S = 0.1
 OPERATION = "look:objective=0.5,timeout=5,value=1,effect=idempotent"
 BODY_BYTES = 1 << 20
+JOIN = b'{"zone":"east","rate":1}'
 
 
 class Program:
@@ -114,3 +122,75 @@
         program.connect(unfinished)
     assert ask(program) < 1.0
     assert program.peak_mb() < MEMORY_LIMIT_MB
+
+
+def test_sessions_that_stop_within_a_large_packet_stay_within_the_memory_limit_of_the_store(started, tmp_path):
+    """Guards against bounds of single connections that together are more than the process may have."""
+    program = started("roster", "serve", "--listen", "127.0.0.1:0", "--folder", str(tmp_path))
+    unfinished = (1_000_000).to_bytes(4, "big") + b"x" * 900_000
+    for _ in range(300):
+        sock = program.connect(write_connect_request(ConnectRequest(0, 30_000, 0, bytes(16))))
+        sock.recv(100)
+        try:
+            sock.sendall(unfinished)
+        except ConnectionError:
+            pass  # it has been turned away
+    sock = program.connect(write_connect_request(ConnectRequest(0, 30_000, 0, bytes(16))))
+    assert sock.recv(100)
+    assert program.peak_mb() < MEMORY_LIMIT_MB
+
+
+# ---- one client at full speed --------------------------------------------------------------------------------------
+
+SMALL = b"GET /v1/roster HTTP/1.1\r\nhost: x\r\n\r\n"
+UNSOUND = b"GET /nothing/there HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def small_requests() -> Iterator[bytes]:
+    return repeat(SMALL * 1000)
+
+
+def unsound_requests() -> Iterator[bytes]:
+    return repeat(UNSOUND * 1000)
+
+
+def joins_of_new_names() -> Iterator[bytes]:
+    return (post(f"/v1/proxies/{name}/join", JOIN) for name in range(65536))
+
+
+def send_all(sock: socket.socket, pieces: Iterator[bytes]) -> None:
+    for piece in pieces:
+        try:
+            sock.sendall(piece)
+        except OSError:
+            return
+
+
+def read_all(sock: socket.socket) -> None:
+    try:
+        while sock.recv(1 << 20):
+            pass
+    except OSError:
+        return
+
+
+def test_one_client_at_full_speed_does_not_make_others_wait(started):
+    """Guards against a connection that gets as much of a round of the loop as it sends."""
+    for flood in (small_requests, unsound_requests, joins_of_new_names):
+        program = started("supervise", "--operation", OPERATION, "--proxies", "65535")
+        sock = program.connect()
+        threads = [
+            threading.Thread(target=send_all, args=(sock, flood())),
+            threading.Thread(target=read_all, args=(sock,)),
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        try:
+            waits = [ask(program) for _ in range(20)]
+        finally:
+            sock.shutdown(socket.SHUT_RDWR)
+            for thread in threads:
+                thread.join()
+        assert median(waits) < LATE_S, (flood.__name__, waits)
+        assert program.peak_mb() < MEMORY_LIMIT_MB, flood.__name__
