One request of a connection is handled in each round of the loop, and only a few more are parsed

Cause: all requests of one read of 64 KiB were parsed at once, and each that was answered at once had the next one handled inside the parser, so that the bound of 17 queued requests never held and one connection got as much of a round as it sent.

Now received bytes wait unparsed, 512 are parsed at a time while at most 17 requests are queued, a read outside of a body takes 8 KiB, and the loop handles one request of each connection in a round. A request that has begun behind others has its time-out too, which runs while it may be read; before it had none and could stay for good.

--- a/driftshed/net/http_server.py
+++ b/driftshed/net/http_server.py
@@ -10,11 +10,13 @@
 import httptools
 
 from driftshed.net.loop import Loop, Timer
-from driftshed.net.stream import Listener, Stream
+from driftshed.net.stream import READ_BYTES, Listener, Stream
 
 PHRASES = {status.value: status.phrase for status in HTTPStatus}
 FIELD_BYTES = 256  # that a header field takes in memory beside its own bytes
 MAX_PIPELINED = 16  # requests of a connection queued behind the one being answered
+HEAD_READ_BYTES = 8192  # largest read outside of a body: it may wait unparsed
+PARSED_BYTES = 512  # at a time, outside of bodies: so few that only a few more requests are queued
 
 
 class Bounds(NamedTuple):
@@ -33,7 +35,19 @@
 class Request:
     """One request and its one answer. `on_gone` is called if the connection ends before the answer."""
 
-    __slots__ = ("method", "path", "query", "headers", "body", "connection", "on_gone", "answered", "keep", "size")
+    __slots__ = (
+        "method",
+        "path",
+        "query",
+        "headers",
+        "body",
+        "connection",
+        "on_gone",
+        "answered",
+        "keep",
+        "size",
+        "begun",
+    )
 
     def __init__(self, connection: ServerConnection) -> None:
         """The connection fills in the request while it is received."""
@@ -41,7 +55,7 @@
         self.method, self.path, self.query, self.body = "", "", "", b""
         self.headers: dict[bytes, bytes] = {}
         self.on_gone: Callable[[], object] | None = None
-        self.answered, self.keep = False, True
+        self.begun, self.answered, self.keep = False, False, True
         self.size = 0  # bytes that it takes in memory
 
     def answer(self, status: int, body: bytes = b"", kind: str = "application/json", extra: str = "") -> None:
@@ -68,6 +82,9 @@
         "target",
         "headers_complete",
         "fields",
+        "unparsed",
+        "scheduled",
+        "body_left",
         "body",
     )
 
@@ -79,6 +96,9 @@
         self.waiting: deque[Request] = deque()  # received; the first is being answered
         self.head_size, self.broken, self.target, self.headers_complete = 0, 0, b"", False
         self.fields, self.body = 0, bytearray()  # of the request being received
+        self.unparsed, self.body_left = bytearray(), 0  # received bytes; bytes of the body that are yet to be parsed
+        self.scheduled = False  # the next request is handled in this round of the loop
+        stream.read_bytes = HEAD_READ_BYTES
         stream.on_data, stream.on_end = self._on_data, self._on_end
         self.timer: Timer | None = None
         self._set_timer(server.bounds.idle_for, self._on_idle)
@@ -97,6 +117,9 @@
         self.stream.abort("idle")
 
     def _on_request_timeout(self) -> None:
+        if self.waiting:  # it is not read on before these are answered
+            self._set_timer(self.server.bounds.request_timeout, self._on_request_timeout)
+            return
         self.reject(408, "the request was not whole in time")
 
     def _on_data(self, data: bytes) -> None:
@@ -104,25 +127,35 @@
             return
         if self.request is None and not self.waiting:
             self._set_timer(self.server.bounds.request_timeout, self._on_request_timeout)
-        self.head_size += len(data)
+        self.unparsed += data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parses what was received, as far as requests may be queued; reads on once all of it is parsed.
+
+        Guards against a connection that gets as much of a round of the loop as it sends.
+        """
+        while self.unparsed and not self.broken and len(self.waiting) <= MAX_PIPELINED:
+            size = max(PARSED_BYTES, self.body_left) if self.headers_complete else PARSED_BYTES
+            piece = bytes(self.unparsed[:size])
+            del self.unparsed[:size]
+            self._parse_piece(piece)
+        self.stream.pause(bool(self.unparsed))
+        self.stream.read_bytes = max(HEAD_READ_BYTES, min(READ_BYTES, self.body_left))
+
+    def _parse_piece(self, piece: bytes) -> None:
+        self.head_size += len(piece)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.broken = self.broken or 400
-        except httptools.HttpParserError:
+            self.parser.feed_data(piece)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.broken = self.broken or 400
         if self.broken:
             reasons = {413: "the body is too large", 431: "the headers are too large"}
             self.reject(self.broken, reasons.get(self.broken, "this is not HTTP/1.1 as we speak it"))
             return
         self.server.enforce_held_bytes()
-        if self.broken:
-            return
-        bounds = self.server.bounds
-        if self.request is not None and not self.headers_complete and self.head_size > bounds.header_bytes:
+        if self.request is not None and not self.headers_complete and self.head_size > self.server.bounds.header_bytes:
             self.reject(431, "the headers are too large")
-        elif len(self.waiting) > MAX_PIPELINED:
-            self.stream.pause(True)
 
     # ---- callbacks of the parser ----
 
@@ -130,6 +163,7 @@
         """Starts a request."""
         self.request, self.target, self.headers_complete = Request(self), b"", False
         self.fields, self.body = 0, bytearray()
+        self._set_timer(self.server.bounds.request_timeout, self._on_request_timeout)
 
     def _hold(self, size: int) -> None:
         """Counts bytes of the request being received."""
@@ -160,7 +194,8 @@
         """Rejects a declared body length above the bound; raises ValueError to stop the parser."""
         self.headers_complete = True
         length = self.request.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > self.server.bounds.body_bytes:
+        self.body_left = int(length) if length.isdigit() else 0
+        if self.body_left > self.server.bounds.body_bytes:
             self.broken = 413
             raise ValueError("too large")
 
@@ -168,12 +203,13 @@
         """Collects the body; raises ValueError to stop the parser above the bound."""
         self._hold(len(body))
         self.body += body
+        self.body_left -= len(body)
         if len(self.body) > self.server.bounds.body_bytes:
             self.broken = 413
             raise ValueError("too large")
 
     def on_message_complete(self) -> None:
-        """Queues the request, and has it handled if no other waits for its answer."""
+        """Queues the request, and has it handled in this round of the loop if no other waits for its answer."""
         request, self.request, self.head_size = self.request, None, 0
         request.body, self.body = bytes(self.body), bytearray()
         request.method = self.parser.get_method().decode("ascii", "replace")
@@ -182,12 +218,20 @@
         if self.timer:
             self.timer.cancel()
             self.timer = None
+        self.headers_complete, self.body_left = False, 0
         self.waiting.append(request)
-        if len(self.waiting) == 1:
-            self._handle_next()
+        self._schedule_next()
+
+    def _schedule_next(self) -> None:
+        if not self.scheduled:
+            self.scheduled = True
+            self.server.loop.soon(self._handle_next)
 
     def _handle_next(self) -> None:
-        if self.waiting and not self.waiting[0].answered:
+        """Has the first request handled: one of a connection in each round of the loop, so that others get theirs."""
+        self.scheduled = False
+        if self.waiting and not self.waiting[0].begun:
+            self.waiting[0].begun = True
             self.server.handle(self.waiting[0])
 
     def _send_answer(self, request: Request, status: int, body: bytes, kind: str, extra: str) -> None:
@@ -208,12 +252,14 @@
             return
         if self.stream.sock is None:
             return
+        if self.unparsed and len(self.waiting) <= MAX_PIPELINED / 2:
+            self._parse()
+        if self.stream.sock is None:
+            return
         if self.waiting:
-            self.server.loop.soon(self._handle_next)
+            self._schedule_next()
         elif self.request is None:
             self._set_timer(self.server.bounds.idle_for, self._on_idle)
-        if self.stream.paused and len(self.waiting) <= MAX_PIPELINED / 2:
-            self.stream.pause(False)
 
     def reject(self, status: int, reason: str) -> None:
         """Answers a request that cannot be read with an error, and ends the connection."""
--- a/driftshed/net/stream.py
+++ b/driftshed/net/stream.py
@@ -38,6 +38,7 @@
         "events",
         "bytes_received",
         "bytes_sent",
+        "read_bytes",
     )
 
     def __init__(self, loop: Loop, sock: socket.socket, max_unsent_bytes: int, connecting: bool = False) -> None:
@@ -51,6 +52,7 @@
         self.on_drained: Callable[[], object] | None = None
         self.tap: Tap | None = None
         self.paused = self.closing = False
+        self.read_bytes = READ_BYTES  # largest read at a time
         self.connecting = connecting
         self.events = self.bytes_received = self.bytes_sent = 0
         try:
@@ -93,7 +95,7 @@
     def pull(self) -> None:
         """Reads the bytes that have arrived, if any."""
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(self.read_bytes)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
