Unfinished packets of all connections of the store stay within one bound

Beyond 32 MiB of unfinished packets the connection with the most is ended; its session lives on and can be resumed.

--- a/driftshed/roster/store.py
+++ b/driftshed/roster/store.py
@@ -29,6 +29,7 @@
 
 MAX_SESSIONS = 10000
 MAX_OUTPUT_BYTES = 8 << 20  # not yet read by one client
+MAX_UNFINISHED_BYTES = 32 << 20  # of packets that are being received, on all connections
 MIN_SESSION_TIMEOUT_S, MAX_SESSION_TIMEOUT_S = 0.1, 60.0
 
 
@@ -52,6 +53,8 @@
         # numbers again that it assigned before.
         self.log, self.tree, self.random = log, log.tree, Random(f"store {seed} {log.tree.zxid}")
         self.connections: dict[int, Connection] = {}  # by session
+        self.unfinished: dict[Connection, int] = {}  # bytes of the packet that a connection is sending
+        self.unfinished_bytes = 0  # of all connections
         # After a restart every client has a full time-out to resume its session.
         self.expires_at = {
             session_id: now + session.timeout / 1000 for session_id, session in self.tree.sessions.items()
@@ -63,6 +66,22 @@
 
     def receive(self, connection: Connection, data: bytes, now: float) -> None:
         """Handles bytes received on a connection. Malformed bytes end this connection and affect no other."""
+        self._read_packets(connection, data, now)
+        self._count_unfinished(connection, len(connection.frames.buffered))
+        # Guards against many clients each of which keeps within the bound of one packet.
+        while self.unfinished_bytes > MAX_UNFINISHED_BYTES:
+            largest = max(self.unfinished, key=self.unfinished.get)
+            largest.close_reason, largest.frames = "too much is being received from all clients", Frames()
+            self._count_unfinished(largest, 0)
+
+    def _count_unfinished(self, connection: Connection, size: int) -> None:
+        self.unfinished_bytes += size - self.unfinished.pop(connection, 0)
+        if size:
+            self.unfinished[connection] = size
+
+    def _read_packets(self, connection: Connection, data: bytes, now: float) -> None:
+        if connection.close_reason:
+            return
         try:
             for payload in connection.frames.feed(data):
                 if connection.close_reason:
@@ -76,6 +95,7 @@
 
     def connection_lost(self, connection: Connection) -> None:
         """A connection has ended; its session lives on until it is resumed or times out."""
+        self._count_unfinished(connection, 0)
         if connection.session and self.connections.get(connection.session) is connection:
             del self.connections[connection.session]
             self.tree.forget_watches(connection.session)
