--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -7,12 +7,15 @@
 import sys
 import time
 from collections import Counter
+from statistics import median
+from threading import Event, Thread
 
 import msgspec
 import pytest
 
+from driftshed.node.config import parse_address
 from driftshed.node.resp import encode_message
-from tests.platforms import Platform, format_address, free_address, make_configuration
+from tests.platforms import Platform, format_address, free_address, make_configuration, roster_update, server_entry
 from tests.test_net import run_until
 
 # ---- the process -----------------------------------------------------------------------------------------------------
@@ -81,6 +84,53 @@
     first.close()
 
 
+@pytest.mark.parametrize("kind", ["pings", "reports"])
+def test_one_peer_at_full_speed_does_not_make_others_wait(tmp_path, kind):
+    """Guards against a peer that gets as much of a round of the loop as it sends, and reports that pile up."""
+    platform = Platform(serve=False)
+    program = Process(tmp_path, platform, known=roster_update(3, server_entry(1), full=True))
+    program.start()
+    platform.until(lambda: len(platform.watches) >= 2 and platform.lists)
+    address = parse_address(program.document["listen"], "listen")
+    fields = {"site": "east", "target": "s-1", "count": "5", "fail": "0", "mean": "10", "over": "500"}
+    fields["util"] = "inflight:1,util:0.5"
+    report = encode_message("LOAD", *(each for pair in fields.items() for each in pair))
+    over = Event()
+
+    def send_all(sock: socket.socket) -> None:
+        sock.sendall(encode_message("SOURCE", "site", "east") if kind == "reports" else b"")
+        while not over.is_set():
+            try:
+                sock.sendall(report * 500 if kind == "reports" else encode_message("PING") * 3000)
+            except OSError:
+                return
+
+    def read_all(sock: socket.socket) -> None:
+        while sock.recv(1 << 20):
+            pass
+
+    def ask() -> float:
+        began = time.monotonic()
+        with socket.create_connection(address) as sock:
+            sock.sendall(encode_message("PING"))
+            assert sock.recv(100)
+        return time.monotonic() - began
+
+    with socket.create_connection(address) as flooding:
+        threads = [Thread(target=each, args=(flooding,)) for each in (send_all, read_all)]
+        for thread in threads:
+            thread.start()
+        time.sleep(1.0)
+        waits = [ask() for _ in range(10)]
+        over.set()
+        flooding.shutdown(socket.SHUT_RDWR)
+        for thread in threads:
+            thread.join()
+    program.terminate()
+    platform.close()
+    assert median(waits) < 0.05, waits
+
+
 def test_a_truncated_configuration_is_read_again_until_complete(tmp_path, other):
     first = Platform(serve=False)
     program = Process(tmp_path, first)
