--- a/tests/test_client_pressure.py
+++ b/tests/test_client_pressure.py
@@ -3,22 +3,24 @@
 
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import repeat
 from statistics import median
 
 import pytest
 
-from driftshed.roster.jute import ConnectRequest, write_connect_request
+from driftshed.roster.jute import PING, XID_PING, ConnectRequest, frame, write_connect_request
 
 MEMORY_LIMIT_MB = 192  # of a supervisor on the platform
 LATE_S = 0.1
 OPERATION = "look:objective=0.5,timeout=5,value=1,effect=idempotent"
 BODY_BYTES = 1 << 20
+PING_REQUEST = struct.pack(">ii", XID_PING, PING)
 JOIN = b'{"zone":"east","rate":1}'
 
 
@@ -174,23 +176,45 @@
         return
 
 
+def waits_beside(
+    address: tuple[str, int], hello: bytes, flood: Iterator[bytes], ask: Callable[[], float]
+) -> list[float]:
+    """How long each of 20 small requests of others takes while one client sends at full speed."""
+    sock = socket.create_connection(address)
+    sock.sendall(hello)
+    threads = [threading.Thread(target=send_all, args=(sock, flood)), threading.Thread(target=read_all, args=(sock,))]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    try:
+        return [ask() for _ in range(20)]
+    finally:
+        sock.shutdown(socket.SHUT_RDWR)
+        for thread in threads:
+            thread.join()
+
+
 def test_one_client_at_full_speed_does_not_make_others_wait(started):
     """Guards against a connection that gets as much of a round of the loop as it sends."""
     for flood in (small_requests, unsound_requests, joins_of_new_names):
         program = started("supervise", "--operation", OPERATION, "--proxies", "65535")
-        sock = program.connect()
-        threads = [
-            threading.Thread(target=send_all, args=(sock, flood())),
-            threading.Thread(target=read_all, args=(sock,)),
-        ]
-        for thread in threads:
-            thread.start()
-        time.sleep(0.5)
-        try:
-            waits = [ask(program) for _ in range(20)]
-        finally:
-            sock.shutdown(socket.SHUT_RDWR)
-            for thread in threads:
-                thread.join()
+        waits = waits_beside(program.address, b"", flood(), lambda program=program: ask(program))
         assert median(waits) < LATE_S, (flood.__name__, waits)
         assert program.peak_mb() < MEMORY_LIMIT_MB, flood.__name__
+
+
+def test_one_session_at_full_speed_does_not_make_others_wait(started, tmp_path):
+    """Guards against a connection that gets as much of a round of the loop as it sends."""
+    program = started("roster", "serve", "--listen", "127.0.0.1:0", "--folder", str(tmp_path))
+    connect = write_connect_request(ConnectRequest(0, 30_000, 0, bytes(16)))
+
+    def open_session() -> float:
+        began = time.monotonic()
+        with socket.create_connection(program.address) as sock:
+            sock.sendall(connect)
+            assert sock.recv(100)
+        return time.monotonic() - began
+
+    waits = waits_beside(program.address, connect, repeat(frame(PING_REQUEST) * 5000), open_session)
+    assert median(waits) < LATE_S / 2, waits
+    assert program.peak_mb() < MEMORY_LIMIT_MB
