A session of the store has 64 requests handled in a round

Now 64 requests of a connection are handled, then the others' turn comes; reading waits meanwhile, and the streams of the laboratory can pause as sockets do.

--- a/driftshed/lab/virtual.py
+++ b/driftshed/lab/virtual.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from collections.abc import Callable
 from heapq import heappush
 from random import Random
@@ -543,6 +544,7 @@
         self.connecting = False
         self.bytes_received = self.bytes_sent = 0
         self.unsent: list[bytes] = []  # written before the stream was open
+        self.paused, self.unread = False, deque()  # whether reading is stopped; what arrived meanwhile
         self.on_data: Callable[[bytes], object] = lambda data: None
         self.on_end: Callable[[str], object] = lambda reason: None
         self.on_open: Callable[[], object] | None = None
@@ -597,10 +599,21 @@
     def _receive(self, data: bytes) -> None:
         if self.sock is None:
             return
-        self.bytes_received += len(data)
-        if self.tap:
-            self.tap(False, data)
-        self.on_data(data)
+        self.unread.append(data)
+        self._read()
+
+    def pause(self, paused: bool) -> None:
+        """Stops or resumes reading."""
+        self.paused = paused
+        self._read()
+
+    def _read(self) -> None:
+        while self.unread and not self.paused and self.sock is not None:
+            data = self.unread.popleft()
+            self.bytes_received += len(data)
+            if self.tap:
+                self.tap(False, data)
+            self.on_data(data)
 
     def finish(self) -> None:
         """Ends the stream after all that was written."""
--- a/driftshed/roster/serve.py
+++ b/driftshed/roster/serve.py
@@ -43,14 +43,18 @@
             stream.abort("too many connections")
             return
         connection = self.streams[stream] = Connection()
-        stream.on_data = lambda data: self._on_data(connection, data)
+        stream.on_data = lambda data: self._on_data(stream, connection, data)
         stream.on_end = lambda reason: self._on_end(stream)
 
-    def _on_data(self, connection: Connection, data: bytes) -> None:
+    def _on_data(self, stream: Stream, connection: Connection, data: bytes) -> None:
         if self.unresponsive:
             return
         self.store.receive(connection, data, self.loop.clock())
         self._schedule_commit()
+        if connection.may_have_more != stream.paused:
+            stream.pause(connection.may_have_more)
+        if connection.may_have_more:
+            self.loop.soon(lambda: self._on_data(stream, connection, b"") if stream in self.streams else None)
 
     def _on_end(self, stream: Stream) -> None:
         self.store.connection_lost(self.streams.pop(stream))
--- a/driftshed/roster/store.py
+++ b/driftshed/roster/store.py
@@ -29,6 +29,7 @@
 
 MAX_SESSIONS = 10000
 MAX_OUTPUT_BYTES = 8 << 20  # not yet read by one client
+MAX_REQUESTS_AT_ONCE = 64  # of one connection in a round of the loop
 MAX_UNFINISHED_BYTES = 32 << 20  # of packets that are being received, on all connections
 MIN_SESSION_TIMEOUT_S, MAX_SESSION_TIMEOUT_S = 0.1, 60.0
 
@@ -37,11 +38,12 @@
     """One client connection. `close_reason`: why to close it once `output` has been written; empty while it stays
     open."""
 
-    __slots__ = ("frames", "session", "output", "close_reason")
+    __slots__ = ("frames", "session", "output", "close_reason", "may_have_more")
 
     def __init__(self) -> None:
         """`session` is 0 until the client has opened or resumed one."""
         self.frames, self.session, self.output, self.close_reason = Frames(), 0, bytearray(), ""
+        self.may_have_more = False  # received requests may be left, which `receive` with no data handles
 
 
 class Store:
@@ -80,16 +82,21 @@
             self.unfinished[connection] = size
 
     def _read_packets(self, connection: Connection, data: bytes, now: float) -> None:
+        connection.may_have_more = False
         if connection.close_reason:
             return
         try:
-            for payload in connection.frames.feed(data):
+            for number, payload in enumerate(connection.frames.feed(data), 1):
                 if connection.close_reason:
                     return
                 if not connection.session:
                     self._open_session(connection, jute.read_connect_request(payload), now)
                 else:
                     self._handle_request(connection, payload, now)
+                # Guards against a connection that gets as much of a round as it sends.
+                if number == MAX_REQUESTS_AT_ONCE:
+                    connection.may_have_more = True
+                    return
         except Malformed as error:
             connection.close_reason = f"malformed: {error}"
 
