Failing tests: a proxy sends on what a client left behind, and leaves requests that it has read unanswered

Six requests and a half-close, or garbage behind them: no answer to any, though the first had run. Known red until the fix.

--- a/tests/test_client_pressure.py
+++ b/tests/test_client_pressure.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 from itertools import repeat
 from statistics import median
@@ -218,3 +219,79 @@
     waits = waits_beside(program.address, connect, repeat(frame(PING_REQUEST) * 5000), open_session)
     assert median(waits) < LATE_S / 2, waits
     assert program.peak_mb() < MEMORY_LIMIT_MB
+
+
+# ---- clients that leave --------------------------------------------------------------------------------------------
+
+
+class SlowServer:
+    """A server that answers each request after a while, one connection a thread."""
+
+    def __init__(self, takes: float) -> None:
+        self.takes, self.begun = takes, Counter()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.name = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        received = b""
+        while data := sock.recv(65536):
+            received += data
+            while b"\r\n\r\n" in received:
+                head, _, received = received.partition(b"\r\n\r\n")
+                self.begun[head.split(b"key=")[1].split(b" ")[0]] += 1
+                time.sleep(self.takes)
+                try:
+                    sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+                except OSError:
+                    return
+
+
+def calls(count: int) -> bytes:
+    return b"".join(b"GET /look?key=%d HTTP/1.1\r\nhost: x\r\n\r\n" % number for number in range(count))
+
+
+@pytest.fixture
+def proxied(started):
+    server = SlowServer(0.2)
+    arguments = ["--listen", "127.0.0.1:0", "--number", "1", "--zone", "east", "--supervisor", "127.0.0.1:9"]
+    program = started("proxy", *arguments, "--standing", server.name, "--operation", OPERATION)
+    yield server, program
+    server.sock.close()
+
+
+def test_requests_of_a_client_that_has_left_are_not_sent_on(proxied):
+    """Guards against a close that is not seen since reading is paused, and work that runs again when it comes again."""
+    server, program = proxied
+    for count in (6, 40):
+        server.begun.clear()
+        sock = program.connect(calls(count))
+        time.sleep(0.05)
+        sock.close()
+        time.sleep(1.0)
+        assert server.begun == {b"0": 1}
+        again = program.connect(calls(3))
+        assert read_answers(again, 3) == [200, 200, 200]
+        assert server.begun == {b"0": 2, b"1": 1, b"2": 1}
+
+
+def test_requests_that_were_read_get_their_answers_whatever_comes_behind_them(proxied):
+    """Guards against a half-close or garbage that ends the connection while requests wait."""
+    server, program = proxied
+    for garbage in (b"", b"\0 this is no request\r\n\r\n"):
+        server.begun.clear()
+        sock = program.connect(calls(6) + garbage)
+        if not garbage:
+            sock.shutdown(socket.SHUT_WR)
+        statuses = read_answers(sock, 7)
+        assert statuses[:1] == [200] and len(statuses) == (7 if garbage else 6), statuses
+        assert set(statuses[1:6]) <= {200, 503} and statuses[6:] in ([], [400])
+        assert sum(server.begun.values()) == statuses.count(200)
