What was read is answered though the client half-closes; nothing more is begun for one that has left

Causes: reading is paused beyond 16 queued requests, and a close was seen only by reading; the end of a client's input was taken for the end of the client; a request that cannot be read ended the connection while others waited; and a server that stops closed a connection after its next answer, whatever else had been read.

Now the state of the client's side (POLLRDHUP) is looked at before each request is begun and before each further try. Requests that waited when the client closed are answered 503, never begun, and not sent on; one that is under way goes on. So that work for a client that has left is still cancelled, the bytes that begin every answer are sent at once: who has left resets the connection, who only half-closed waits for the rest. Held polls of supervise are answered and their stream ends, as before. The error answer comes behind the answers that are due. On shutdown proxy and supervise answer what they have read, supervise within 0.5 s.

Emulated servers take a close for a cancelled try as before.

--- a/driftshed/lab/virtual.py
+++ b/driftshed/lab/virtual.py
@@ -257,7 +257,7 @@
         if address in network.servers:
             raise OSError(98, "address in use")
         self.network, self.loop, self.address, self.handle, self.bounds = network, loop, address, handle, bounds
-        self.refusal = refusal
+        self.refusal, self.refusal_headers = refusal, ""
         self.connections: dict[VirtualServerConnection, None] = {}
         self.on_connection_end: Callable[[VirtualServerConnection, str], object] | None = None
         self.on_connection: Callable[[object], object] | None = None
@@ -265,6 +265,11 @@
         self.rejected_connections = 0
         network.servers[address] = self
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request that was received waits for its answer."""
+        return all(connection.request is None for connection in self.connections)
+
     def close(self, now: bool = True, hard: bool = False) -> None:
         """Stops listening. With `now` all connections end, else only idle ones; `hard` resets them."""
         self.closing = True
@@ -364,6 +369,10 @@
         if server.on_connection_end:
             server.on_connection_end(self, reason)
 
+    def client_has_closed(self) -> bool:
+        """Whether the stream has ended."""
+        return self.sock is None
+
     def on_client_closed(self) -> None:
         """Handles the end of the stream at the client."""
         self._close("ended")
--- a/driftshed/net/http_server.py
+++ b/driftshed/net/http_server.py
@@ -10,10 +10,12 @@
 import httptools
 
 from driftshed.net.loop import Loop, Timer
-from driftshed.net.stream import READ_BYTES, Listener, Stream
+from driftshed.net.stream import READ_BYTES, Listener, PeerState, Stream
 
 PHRASES = {status.value: status.phrase for status in HTTPStatus}
 FIELD_BYTES = 256  # that a header field takes in memory beside its own bytes
+ANSWER_PREFIX = "HTTP/1.1 "  # of every answer
+CLIENT_CHECK_S = (0.01, 1.0)  # first and longest wait between looks whether a client that half-closed was reset
 MAX_PIPELINED = 16  # requests of a connection queued behind the one being answered
 HEAD_READ_BYTES = 8192  # largest read outside of a body: it may wait unparsed
 PARSED_BYTES = 512  # at a time, outside of bodies: so few that only a few more requests are queued
@@ -33,7 +35,8 @@
 
 
 class Request:
-    """One request and its one answer. `on_gone` is called if the connection ends before the answer."""
+    """One request and its one answer. `on_gone` is called if the connection ends before the answer; `on_client_closed`
+    if the client sends no more before it: it may have left, or still wait."""
 
     __slots__ = (
         "method",
@@ -43,10 +46,13 @@
         "body",
         "connection",
         "on_gone",
+        "on_client_closed",
+        "begun",
+        "queued",
         "answered",
         "keep",
         "size",
-        "begun",
+        "rejection",
     )
 
     def __init__(self, connection: ServerConnection) -> None:
@@ -55,15 +61,23 @@
         self.method, self.path, self.query, self.body = "", "", "", b""
         self.headers: dict[bytes, bytes] = {}
         self.on_gone: Callable[[], object] | None = None
+        self.on_client_closed: Callable[[], object] | None = None
         self.begun, self.answered, self.keep = False, False, True
+        self.queued = False  # it was received while another waited for its answer, or when the client had closed
         self.size = 0  # bytes that it takes in memory
+        self.rejection: tuple[int, str] | None = None  # status and reason of its answer, if it cannot be read
+
+    @property
+    def client_closed(self) -> bool:
+        """Whether the client sends no more, so that it may have left."""
+        return self.connection.client_has_closed()
 
     def answer(self, status: int, body: bytes = b"", kind: str = "application/json", extra: str = "") -> None:
         """Sends the answer. `extra` is complete header lines, each ended by CR LF. Has no effect after the first call,
         or once the connection has ended."""
         if self.answered:
             return
-        self.answered, self.on_gone = True, None
+        self.answered, self.on_gone, self.on_client_closed = True, None, None
         self.connection._send_answer(self, status, body, kind, extra)
 
 
@@ -84,6 +98,8 @@
         "fields",
         "unparsed",
         "scheduled",
+        "client_closed",
+        "prefix_sent",
         "body_left",
         "body",
     )
@@ -99,7 +115,9 @@
         self.unparsed, self.body_left = bytearray(), 0  # received bytes; bytes of the body that are yet to be parsed
         self.scheduled = False  # the next request is handled in this round of the loop
         stream.read_bytes = HEAD_READ_BYTES
-        stream.on_data, stream.on_end = self._on_data, self._on_end
+        self.client_closed = False  # the client sends no more, though all of it may not be read yet
+        self.prefix_sent = False  # of the next answer
+        stream.on_data, stream.on_end, stream.on_half_closed = self._on_data, self._on_end, self._on_half_closed
         self.timer: Timer | None = None
         self._set_timer(server.bounds.idle_for, self._on_idle)
 
@@ -140,7 +158,7 @@
             piece = bytes(self.unparsed[:size])
             del self.unparsed[:size]
             self._parse_piece(piece)
-        self.stream.pause(bool(self.unparsed))
+        self.stream.pause(bool(self.unparsed or self.broken))
         self.stream.read_bytes = max(HEAD_READ_BYTES, min(READ_BYTES, self.body_left))
 
     def _parse_piece(self, piece: bytes) -> None:
@@ -219,6 +237,7 @@
             self.timer.cancel()
             self.timer = None
         self.headers_complete, self.body_left = False, 0
+        request.queued = bool(self.waiting) or self.client_closed
         self.waiting.append(request)
         self._schedule_next()
 
@@ -230,46 +249,111 @@
     def _handle_next(self) -> None:
         """Has the first request handled: one of a connection in each round of the loop, so that others get theirs."""
         self.scheduled = False
-        if self.waiting and not self.waiting[0].begun:
-            self.waiting[0].begun = True
-            self.server.handle(self.waiting[0])
+        if not self.waiting or self.waiting[0].begun:
+            return
+        request = self.waiting[0]
+        request.begun = True
+        if request.rejection is not None:
+            status, reason = request.rejection
+            request.answer(status, self.server.refusal(reason))
+        elif self.client_has_closed() and request.queued:
+            # Guards against work for a client that has left, which sends it again elsewhere.
+            body = self.server.refusal("the client has closed its side; this was not begun")
+            request.answer(503, body, extra=f"retry-after: 1\r\n{self.server.refusal_headers}")
+        elif self.stream.sock is not None:
+            self.server.handle(request)
+
+    def client_has_closed(self) -> bool:
+        """Whether the client sends no more. Ends the connection if the client has reset it."""
+        if self.stream.sock is None or self.client_closed:
+            return True
+        state = self.stream.peer_state()
+        if state is PeerState.GONE:
+            self.stream.abort("reset")
+        elif state is PeerState.CLOSED:
+            self.client_closed = True
+        return state is not PeerState.OPEN
+
+    def _on_half_closed(self) -> None:
+        """The client sends no more: what it has sent whole is answered, then the connection ends."""
+        self.client_closed = True
+        if self.request is not None:
+            self._release(self.request)
+            self.request = None
+        if not self.waiting:
+            self.stream.finish()
+        elif self.waiting[0].on_client_closed:
+            self.waiting[0].on_client_closed()
+        else:
+            self._probe_client()
+
+    def _probe_client(self) -> None:
+        """Sends the bytes with which every answer begins: a client that has left resets the connection for them, one
+        that has only half-closed waits for the rest."""
+        if not self.prefix_sent and not self.stream.out:
+            self.stream.write(ANSWER_PREFIX.encode())
+            self.prefix_sent = True
+        if self.stream.sock is not None:
+            self._check_client_later(CLIENT_CHECK_S[0])
+
+    def _check_client_later(self, wait: float) -> None:
+        def check() -> None:
+            if self.stream.peer_state() is PeerState.GONE:
+                self.stream.abort("reset")
+            elif self.waiting:
+                self._check_client_later(min(2 * wait, CLIENT_CHECK_S[1]))
+
+        self._set_timer(wait, check)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether all that was received is answered, but for the beginning of a request."""
+        return not self.waiting and not self.unparsed
 
     def _send_answer(self, request: Request, status: int, body: bytes, kind: str, extra: str) -> None:
         self._release(request)
         if self.stream.sock is None:
             return
-        keep = request.keep and not self.server.closing
+        if self.waiting and self.waiting[0] is request:
+            self.waiting.popleft()
+        ending = self.server.closing or self.stream.input_ended
+        keep = request.keep and not (ending and self.is_idle)
         last_header = "\r\n" if keep else "connection: close\r\n\r\n"
+        prefix, self.prefix_sent = "" if self.prefix_sent else ANSWER_PREFIX, False
         head = (
-            f"HTTP/1.1 {status} {PHRASES.get(status, 'Other')}\r\ncontent-type: {kind}\r\n"
+            f"{prefix}{status} {PHRASES.get(status, 'Other')}\r\ncontent-type: {kind}\r\n"
             f"content-length: {len(body)}\r\n{extra}{last_header}"
         )
         self.stream.write(head.encode("latin-1") + body)
-        if self.waiting and self.waiting[0] is request:
-            self.waiting.popleft()
         if not keep:
             self.stream.finish()
             return
-        if self.stream.sock is None:
-            return
-        if self.unparsed and len(self.waiting) <= MAX_PIPELINED / 2:
+        if self.unparsed and len(self.waiting) <= MAX_PIPELINED / 2 and self.stream.sock is not None:
             self._parse()
         if self.stream.sock is None:
             return
         if self.waiting:
             self._schedule_next()
+        elif ending:  # what is left is no whole request
+            self.stream.finish()
         elif self.request is None:
             self._set_timer(self.server.bounds.idle_for, self._on_idle)
 
     def reject(self, status: int, reason: str) -> None:
-        """Answers a request that cannot be read with an error, and ends the connection."""
+        """Answers a request that cannot be read with an error, after those before it, and ends the connection."""
         self.broken = self.broken or status
-        if self.waiting:  # answers before it are still due, and an error must not overtake them
-            self.stream.abort("malformed")
-            return
-        request, self.request, self.body = self.request or Request(self), None, bytearray()
-        request.keep = False
-        request.answer(status, self.server.refusal(reason))
+        if self.request is not None:
+            self._release(self.request)
+        self.request, self.body = None, bytearray()
+        self.unparsed.clear()
+        self.stream.pause(True)
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        rejected = Request(self)
+        rejected.keep, rejected.rejection = False, (status, reason)
+        self.waiting.append(rejected)
+        self._schedule_next()
 
     def _on_end(self, reason: str) -> None:
         if self.timer:
@@ -309,6 +393,7 @@
         self.on_connection_end: Callable[[ServerConnection, str], object] | None = None
         self.on_connection: Callable[[Stream], object] | None = None
         self.closing = False
+        self.refusal_headers = ""  # complete lines, of the answer to a request that was read and not begun
         self.rejected_connections = 0
         self.held_bytes = 0  # of the requests that are being received or answered
         self.listener = Listener(loop, address, self._accept, bounds.out_bytes, shared)
@@ -344,10 +429,15 @@
             largest.reject(503, "too much is being received from all clients; come back later")
 
     def close(self, now: bool = True) -> None:
-        """Stops listening. With `now` all connections end at once; else idle ones do, and the others after their next
-        answer."""
+        """Stops listening. With `now` all connections end at once; else idle ones do, and the others once what they
+        have received is answered."""
         self.closing = True
         self.listener.close()
         for connection in list(self.connections):
-            if now or not connection.waiting:
+            if now or connection.is_idle:
                 connection.stream.abort("closed")
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request that was received waits for its answer."""
+        return all(connection.is_idle for connection in self.connections)
--- a/driftshed/net/stream.py
+++ b/driftshed/net/stream.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from collections.abc import Callable
+from enum import Enum
 
 from driftshed.net.loop import READ, WRITE, Loop
 
@@ -16,8 +18,17 @@
 Tap = Callable[[bool, bytes], object]
 
 
+class PeerState(Enum):
+    """What is known of the other end of a stream."""
+
+    OPEN = "may send more"
+    CLOSED = "sends no more, and may have left"
+    GONE = "was reset"
+
+
 class Stream:
-    """A byte stream to one peer; owns its socket. `on_data(data)` receives the bytes read; `on_end(reason)` is called
+    """A byte stream to one peer; owns its socket. `on_data(data)` receives the bytes read. Once the peer sends no more,
+    `on_half_closed()` is called if it is set, else the stream ends. `on_end(reason)` is called
     once, when the stream ends for any reason: "ended", "reset", "stuck" (the peer does not read and the output exceeded
     its bound), or the reason given to `abort`."""
 
@@ -39,6 +50,8 @@
         "bytes_received",
         "bytes_sent",
         "read_bytes",
+        "on_half_closed",
+        "input_ended",
     )
 
     def __init__(self, loop: Loop, sock: socket.socket, max_unsent_bytes: int, connecting: bool = False) -> None:
@@ -51,7 +64,8 @@
         self.on_open: Callable[[], object] | None = None
         self.on_drained: Callable[[], object] | None = None
         self.tap: Tap | None = None
-        self.paused = self.closing = False
+        self.on_half_closed: Callable[[], object] | None = None
+        self.paused = self.closing = self.input_ended = False
         self.read_bytes = READ_BYTES  # largest read at a time
         self.connecting = connecting
         self.events = self.bytes_received = self.bytes_sent = 0
@@ -64,7 +78,9 @@
     def _update_events(self) -> None:
         if self.sock is None:
             return
-        events = (0 if self.paused or self.connecting else READ) | (WRITE if self.out or self.connecting else 0)
+        events = (0 if self.paused or self.connecting or self.input_ended else READ) | (
+            WRITE if self.out or self.connecting else 0
+        )
         if events != self.events:
             self.events = events
             self.loop.watch(self.sock, events, self._on_ready)
@@ -102,13 +118,30 @@
             self.abort("reset")
             return
         if not data:
-            self.abort("ended")
+            self._end_input()
             return
         self.bytes_received += len(data)
         if self.tap:
             self.tap(False, data)
         self.on_data(data)
 
+    def _end_input(self) -> None:
+        if self.on_half_closed is None:
+            self.abort("ended")
+            return
+        self.input_ended = True
+        self._update_events()
+        self.on_half_closed()
+
+    def peer_state(self) -> PeerState:
+        """The state of the other end, also while reading is paused or bytes are unread."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        events = sum(event for _, event in poll.poll(0))
+        if events & (select.POLLHUP | select.POLLERR):
+            return PeerState.GONE
+        return PeerState.CLOSED if events & select.POLLRDHUP else PeerState.OPEN
+
     def _flush(self) -> None:
         try:
             sent = self.sock.send(self.out)
@@ -162,6 +195,7 @@
             self.tap(False, b"")
         self.on_end(reason)
         self.on_data, self.on_end, self.on_open, self.on_drained = _ignore, _ignore, None, None
+        self.on_half_closed = None
 
 
 def _ignore(_: object) -> None:
--- a/driftshed/proxy/forward.py
+++ b/driftshed/proxy/forward.py
@@ -122,6 +122,7 @@
         self.trace: Callable[..., object] | None = None
         self.on_idle: Callable[[], object] | None = None
         self.http = transport.server(loop, address, self._handle_request, bounds, shared=shared)
+        self.http.refusal_headers = f"{NEVER_RAN_HEADER.decode()}: 1\r\n"
         self.address = self.http.address
 
     # ---- requests of clients ----------------------------------------------------------------------------------
@@ -267,7 +268,7 @@
             in_time = now - invocation.started_at <= self.facts.operations[invocation.operation].latency_objective
             self._finish(invocation, "succeeded" if in_time else "late")
             return
-        if may_follow(
+        if not invocation.request.client_closed and may_follow(
             self.rules[invocation.operation],
             self.tables.try_mode(invocation.operation),
             invocation.finished_tries,
@@ -311,7 +312,10 @@
         self._record_outcome(invocation, outcome)
         if self.retired:
             self._close_retired()
-        if not self.under_way and self.on_idle:
+        self._check_idle()
+
+    def _check_idle(self) -> None:
+        if self.on_idle and not self.under_way and self.http.is_idle:
             self.on_idle()
 
     def _record_outcome(self, invocation: Invocation, outcome: str) -> None:
@@ -353,12 +357,11 @@
 
     def stop(self, on_done: Callable[[], object], timeout: float) -> None:
         """Accepts no more requests; calls `on_done()` once all under way are answered, or after `timeout` seconds."""
-        self.http.close(now=False)
+        self.http.on_connection_end = lambda connection, reason: self._check_idle()
         self.on_idle = lambda: self.loop.soon(on_done)
-        if not self.under_way:
-            self.loop.soon(on_done)
-        else:
-            self.loop.after(timeout, on_done)
+        self.http.close(now=False)
+        self._check_idle()
+        self.loop.after(timeout, on_done)
 
 
 def outcome_of(answer: Answer) -> Outcome:
--- a/driftshed/standins/emulator.py
+++ b/driftshed/standins/emulator.py
@@ -241,6 +241,7 @@
                     self.recent_keys.popitem(last=False)
             job = Job(request, work * slower, operation, self._deadline_of(request))
             request.on_gone = lambda: self._on_client_gone(job)
+            request.on_client_closed = lambda: request.connection.stream.abort("ended")  # a proxy that cancels a try
             if lost and self.random.random() < lost:
                 job.request, request.on_gone = None, None
             self._enqueue(job)
--- a/driftshed/supervisor/service.py
+++ b/driftshed/supervisor/service.py
@@ -19,6 +19,8 @@
 DECODERS = {kind: msgspec.json.Decoder(kind) for kind in (Join, Report, RosterUpdate)}
 STATE_NAMES = {face.READY: "ready", face.DRAINING: "draining"}
 
+STOP_WITHIN_S, STOP_CHECK_INTERVAL_S = 0.5, 0.01
+
 
 def error_body(reason: str) -> bytes:
     """JSON body of an error answer."""
@@ -272,7 +274,10 @@
         body = self.instance.hub.update_body(record, self.loop.clock())
         if body is not None:
             self._send_changes(stream, body)
+        elif self.http.closing:
+            self._answer_held_poll(stream, 503, error_body("the supervisor stops; dial again"))
         else:
+            request.on_client_closed = lambda: self._connection_ended(request.connection, "ended")
             stream.timer = self.loop.after(min(wait, self.max_poll_wait), lambda: self._poll_timed_out(stream))
 
     def _poll_timed_out(self, stream: ProxyStream) -> None:
@@ -451,4 +456,11 @@
         for stream in list(self.streams.values()):
             if stream.request is not None:
                 self._answer_held_poll(stream, 503, error_body("the supervisor stops; dial again"))
-        self.loop.soon(lambda: (self.http.close(), self.loop.stop()))
+        self._stop_when_idle(self.loop.clock() + STOP_WITHIN_S)
+
+    def _stop_when_idle(self, deadline: float) -> None:
+        """Guards against requests that were read and are closed with no answer."""
+        if self.http.is_idle or self.loop.clock() >= deadline:
+            self.loop.soon(lambda: (self.http.close(), self.loop.stop()))
+        else:
+            self.loop.after(STOP_CHECK_INTERVAL_S, lambda: self._stop_when_idle(deadline))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -148,18 +148,57 @@
 
     def handle(request) -> None:
         asked.append(request)
-        request.on_gone = lambda: gone.append(request)
+        request.on_gone = lambda: gone.append("gone")
+        request.on_client_closed = lambda: gone.append("closed")
 
     server = serve(loop, handle, idle_for=0.2)
-    idle, leaver = RawConnection(loop, server.address), RawConnection(loop, server.address)
-    leaver.sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
-    run_until(loop, lambda: asked)
-    leaver.sock.close()
-    run_until(loop, lambda: gone)
-    asked[0].answer(200, b"too late")  # has no effect
+    idle = RawConnection(loop, server.address)
+    for notice in ("closed", "gone"):
+        leaver = RawConnection(loop, server.address)
+        leaver.sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        asked.clear()
+        run_until(loop, lambda: asked)
+        if notice == "gone":
+            leaver.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")  # a reset
+        leaver.sock.close()
+        run_until(loop, lambda: gone)
+        assert gone == [notice]
+        gone.clear()
+        asked[0].answer(200, b"too late")
+        run_until(
+            loop, lambda: not [each for each in server.connections if each.stream.peer != idle.sock.getsockname()]
+        )
     run_until(loop, lambda: idle.read() == b"" and idle.ended)
 
 
+def test_a_client_that_half_closes_gets_the_answer_that_takes_longer(loop):
+    """Guards against a request that was read and is closed with no answer."""
+    asked = []
+    server = serve(loop, asked.append)
+    raw = RawConnection(loop, server.address)
+    raw.sock.sendall(b"GET /one HTTP/1.1\r\n\r\n")
+    raw.sock.shutdown(socket.SHUT_WR)
+    run_until(loop, lambda: asked and list(server.connections)[0].stream.input_ended)
+    asked[0].answer(200, b"late, but final")
+    run_until(loop, lambda: raw.read() and raw.ended)
+    assert raw.got.endswith(b"late, but final") and b"connection: close" in raw.got and not server.connections
+
+
+def test_a_server_that_stops_answers_what_it_has_read(loop):
+    """Guards against pipelined requests that are dropped after the next answer."""
+    asked = []
+    server = serve(loop, asked.append)
+    raw = RawConnection(loop, server.address)
+    raw.sock.sendall(b"".join(b"GET /p%d HTTP/1.1\r\n\r\n" % k for k in range(3)))
+    run_until(loop, lambda: asked)
+    server.close(now=False)
+    for k in range(3):
+        run_until(loop, lambda k=k: len(asked) > k)
+        asked[k].answer(200, asked[k].path.encode())
+    run_until(loop, lambda: raw.read() and raw.ended)
+    assert all(b"/p%d" % k in raw.got for k in range(3))
+
+
 def test_a_client_distinguishes_never_sent_from_perhaps_sent(loop):
     answers = {}
     server = serve(loop, lambda request: request.connection.stream.abort("reset", hard=True))
