A news connection that was silent for over 1.8 s is given up with its next line

Cause: the bound of silence held only when the timer came. Now the next line ends the connection where the silence was longer, with the same consequences as the timer's.

--- a/driftshed/node/notifications.py
+++ b/driftshed/node/notifications.py
@@ -140,6 +140,9 @@
         """The events for the module in the received bytes. Raises ProtocolError if the connection must be given up;
         the events before the error are in its `args[1]`."""
         events: list = []
+        # Guards against lines from before a silence, which are taken for proof that all before them has been told.
+        if self.received_at + NOTIFICATION_TIMEOUT_S < now and self.received_at > float("-inf"):
+            raise ProtocolError("silent for too long", events)
         try:
             for text in self.line_reader.feed(data):
                 if text:
--- a/driftshed/standins/platform/plans.py
+++ b/driftshed/standins/platform/plans.py
@@ -30,7 +30,7 @@
     slow_pace: float = 1.0  # of their usual speed
     slow_at: float = 0.0
     slow_for: float = 0.0
-    news_lag: float = 0.0  # of the old relay address behind the new one after a reload, with real processes
+    news_lag: float = 0.0  # of the old relay address around a reload, with real processes
     report_delay: float = 0.0  # from the end of a report's period until the supervisor has it
 
 
