--- a/tests/test_client_pressure.py
+++ b/tests/test_client_pressure.py
@@ -9,13 +9,14 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from itertools import repeat
 from statistics import median
 
 import pytest
 
 from driftshed.roster.jute import PING, XID_PING, ConnectRequest, frame, write_connect_request
+from tests.floods import waits_beside
 
 MEMORY_LIMIT_MB = 192  # of a supervisor on the platform
 LATE_S = 0.1
@@ -161,40 +162,6 @@
     return (post(f"/v1/proxies/{name}/join", JOIN) for name in range(65536))
 
 
-def send_all(sock: socket.socket, pieces: Iterator[bytes]) -> None:
-    for piece in pieces:
-        try:
-            sock.sendall(piece)
-        except OSError:
-            return
-
-
-def read_all(sock: socket.socket) -> None:
-    try:
-        while sock.recv(1 << 20):
-            pass
-    except OSError:
-        return
-
-
-def waits_beside(
-    address: tuple[str, int], hello: bytes, flood: Iterator[bytes], ask: Callable[[], float]
-) -> list[float]:
-    """How long each of 20 small requests of others takes while one client sends at full speed."""
-    sock = socket.create_connection(address)
-    sock.sendall(hello)
-    threads = [threading.Thread(target=send_all, args=(sock, flood)), threading.Thread(target=read_all, args=(sock,))]
-    for thread in threads:
-        thread.start()
-    time.sleep(0.5)
-    try:
-        return [ask() for _ in range(20)]
-    finally:
-        sock.shutdown(socket.SHUT_RDWR)
-        for thread in threads:
-            thread.join()
-
-
 def test_one_client_at_full_speed_does_not_make_others_wait(started):
     """Guards against a connection that gets as much of a round of the loop as it sends."""
     for flood in (small_requests, unsound_requests, joins_of_new_names):
--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -7,14 +7,15 @@
 import sys
 import time
 from collections import Counter
+from itertools import repeat
 from statistics import median
-from threading import Event, Thread
 
 import msgspec
 import pytest
 
 from driftshed.node.config import parse_address
 from driftshed.node.resp import encode_message
+from tests.floods import waits_beside
 from tests.platforms import Platform, format_address, free_address, make_configuration, roster_update, server_entry
 from tests.test_net import run_until
 
@@ -95,22 +96,8 @@
     fields = {"site": "east", "target": "s-1", "count": "5", "fail": "0", "mean": "10", "over": "500"}
     fields["util"] = "inflight:1,util:0.5"
     report = encode_message("LOAD", *(each for pair in fields.items() for each in pair))
-    over = Event()
-
-    def send_all(sock: socket.socket) -> None:
-        sock.sendall(encode_message("SOURCE", "site", "east") if kind == "reports" else b"")
-        while not over.is_set():
-            try:
-                sock.sendall(report * 500 if kind == "reports" else encode_message("PING") * 3000)
-            except OSError:
-                return
-
-    def read_all(sock: socket.socket) -> None:
-        try:
-            while sock.recv(1 << 20):
-                pass
-        except OSError:
-            return
+    hello = encode_message("SOURCE", "site", "east") if kind == "reports" else b""
+    flood = repeat(report * 500 if kind == "reports" else encode_message("PING") * 3000)
 
     def ask() -> float:
         began = time.monotonic()
@@ -119,16 +106,8 @@
             assert sock.recv(100)
         return time.monotonic() - began
 
-    with socket.create_connection(address) as flooding:
-        threads = [Thread(target=each, args=(flooding,)) for each in (send_all, read_all)]
-        for thread in threads:
-            thread.start()
-        time.sleep(1.0)
-        waits = [ask() for _ in range(10)]
-        over.set()
-        flooding.shutdown(socket.SHUT_RDWR)
-        for thread in threads:
-            thread.join()
+    ask()  # answered once it is ready
+    waits = waits_beside(address, hello, flood, ask)
     program.terminate()
     platform.close()
     assert median(waits) < 0.05, waits
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,8 +1,10 @@
 """The loop and HTTP over real sockets: bounds, order, time-outs. Tests poll for a condition within a generous time
 limit."""
 
+import re
 import socket
 import time
+from random import Random
 
 import pytest
 
@@ -224,3 +226,36 @@
         client.call("GET", f"/{k}", b"", answers.append, 5.0)
         run_until(loop, lambda k=k: len(answers) > k)
     assert [answer.body for answer in answers] == [b"/%d" % k for k in range(5)] and len(server.connections) == 1
+
+
+def test_pipelined_requests_of_all_forms_are_read_alike_however_they_are_split(loop):
+    """Guards against a request that is lost or read wrongly where received bytes wait unparsed."""
+    server = serve(loop, lambda request: request.answer(200, request.path.encode() + request.body))
+    random = Random(56)
+    for _ in range(20):
+        sent, wanted = b"", b""
+        for number in range(random.randrange(1, 120)):
+            body = random.randbytes(random.choice([0, 1, 400, 600, 20_000])).hex().encode()
+            if random.random() < 0.3:
+                chunks = [body[at : at + 700] for at in range(0, len(body), 700)]
+                coded = b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks) + b"0\r\n\r\n"
+                sent += b"POST /%d HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n" % number + coded
+            else:
+                sent += b"POST /%d HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % (number, len(body)) + body
+            wanted += b"/%d" % number + body
+        raw = RawConnection(loop, server.address)
+        while sent:
+            size = random.choice([1, 17, 511, 512, 513, 9000])
+            raw.sock.setblocking(True)
+            raw.sock.sendall(sent[:size])
+            raw.sock.setblocking(False)
+            sent = sent[size:]
+            loop.after(0.0, lambda: None)
+            loop.turn()
+            raw.read()
+        count = number + 1
+        run_until(loop, lambda raw=raw, count=count: raw.read().count(b"HTTP/1.1 200 OK") == count)
+        run_until(loop, lambda raw=raw, wanted=wanted: raw.read().endswith(wanted[-1:]))
+        answers = re.split(rb"HTTP/1\.1 200 OK\r\n.*?\r\n\r\n", raw.got, flags=re.DOTALL)
+        assert b"".join(answers) == wanted
+    assert server.held_bytes == 0
