--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -297,7 +297,7 @@
             self.part[i] = self._choose_part(entry)
         if entry.state == face.READY and (self.state[i] != face.READY or started > self.started[i]):
             if self._is_complained_of(i):
-                self.held_until[i] = self.now + COMPLAINT_EXPIRY_S  # a restart does not mend a slow machine
+                self.held_until[i] = self.now + WITHDRAWAL_DURATION_S  # a restart does not mend a slow machine
             self._begin_entry(i, LONG_AGO if self.awaiting_first_list else self.now)
             if (started > self.started[i] or is_new) and not self.awaiting_first_list:
                 self.factor[i] = self._starting_factor(i, entry.kind, is_new)
@@ -465,7 +465,7 @@
         slowness = latency / baseline if latency is not None and baseline else 0.0
         self._record_view(zone, i, slowness, error_share)
         if not self.is_warm(i) and self._is_unusual(zone, latency, slowness * self.warmth(i), error_share):
-            self.held_until[i] = self.now + COMPLAINT_EXPIRY_S
+            self.held_until[i] = self.now + WITHDRAWAL_DURATION_S
         if self._is_unusual(zone, latency, slowness, error_share):
             expired = (
                 self.complaint_since[zone][i] is None or self.complaint_renewed[zone][i] < self.now - COMPLAINT_EXPIRY_S
