--- a/driftshed/net/http_server.py
+++ b/driftshed/net/http_server.py
@@ -127,9 +127,13 @@
         return self.stream.peer
 
     def _set_timer(self, seconds: float, call: Callable[[], object]) -> None:
+        self._cancel_timer()
+        self.timer = self.server.loop.after(seconds, call)
+
+    def _cancel_timer(self) -> None:
         if self.timer:
             self.timer.cancel()
-        self.timer = self.server.loop.after(seconds, call)
+            self.timer = None
 
     def _on_idle(self) -> None:
         self.stream.abort("idle")
@@ -233,9 +237,7 @@
         request.method = self.parser.get_method().decode("ascii", "replace")
         path, _, request.query = self.target.decode("latin-1").partition("?")
         request.path, request.keep = path, self.parser.should_keep_alive()
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
+        self._cancel_timer()
         self.headers_complete, self.body_left = False, 0
         request.queued = bool(self.waiting) or self.client_closed
         self.waiting.append(request)
@@ -347,18 +349,14 @@
         self.request, self.body = None, bytearray()
         self.unparsed.clear()
         self.stream.pause(True)
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
+        self._cancel_timer()
         rejected = Request(self)
         rejected.keep, rejected.rejection = False, (status, reason)
         self.waiting.append(rejected)
         self._schedule_next()
 
     def _on_end(self, reason: str) -> None:
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
+        self._cancel_timer()
         self.server.connections.pop(self, None)
         if self.request is not None:
             self._release(self.request)
--- a/driftshed/net/stream.py
+++ b/driftshed/net/stream.py
@@ -28,9 +28,9 @@
 
 class Stream:
     """A byte stream to one peer; owns its socket. `on_data(data)` receives the bytes read. Once the peer sends no more,
-    `on_half_closed()` is called if it is set, else the stream ends. `on_end(reason)` is called
-    once, when the stream ends for any reason: "ended", "reset", "stuck" (the peer does not read and the output exceeded
-    its bound), or the reason given to `abort`."""
+    `on_half_closed()` is called if it is set, else the stream ends. `on_end(reason)` is called once, when the stream ends
+    for any reason: "ended", "reset", "stuck" (the peer does not read and the output exceeded its bound), or the reason
+    given to `abort`."""
 
     __slots__ = (
         "loop",
@@ -78,9 +78,9 @@
     def _update_events(self) -> None:
         if self.sock is None:
             return
-        events = (0 if self.paused or self.connecting or self.input_ended else READ) | (
-            WRITE if self.out or self.connecting else 0
-        )
+        reads = not (self.paused or self.connecting or self.input_ended)
+        writes = self.connecting or bool(self.out)
+        events = READ * reads | WRITE * writes
         if events != self.events:
             self.events = events
             self.loop.watch(self.sock, events, self._on_ready)
--- a/driftshed/proxy/forward.py
+++ b/driftshed/proxy/forward.py
@@ -316,7 +316,8 @@
 
     def _check_idle(self) -> None:
         if self.on_idle and not self.under_way and self.http.is_idle:
-            self.on_idle()
+            on_idle, self.on_idle = self.on_idle, None
+            on_idle()
 
     def _record_outcome(self, invocation: Invocation, outcome: str) -> None:
         if not self.trace:
@@ -357,9 +358,10 @@
 
     def stop(self, on_done: Callable[[], object], timeout: float) -> None:
         """Accepts no more requests; calls `on_done()` once all under way are answered, or after `timeout` seconds."""
+        self.http.close(now=False)
+        # Only now: each end looks at the connections that are left.
         self.http.on_connection_end = lambda connection, reason: self._check_idle()
         self.on_idle = lambda: self.loop.soon(on_done)
-        self.http.close(now=False)
         self._check_idle()
         self.loop.after(timeout, on_done)
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -75,7 +75,8 @@
     """Reloads: now and then both connections are opened at another address, and the old ones go on for a while."""
 
     def __init__(self, often: bool) -> None:
-        self.often, self.old = often, []  # pairs of an old connection and the new one
+        self.often = often
+        self.old: list[tuple[Connection, Connection, float]] = []  # old, new, and when the relay ends the old one
 
     def begin(self, relay: Relay, joins: JoinState, connections: list, now: float) -> int:
         """Opens new connections if a reload is due. Returns how many old ones go on beside them."""
