--- a/driftshed/net/stream.py
+++ b/driftshed/net/stream.py
@@ -28,9 +28,9 @@
 
 class Stream:
     """A byte stream to one peer; owns its socket. `on_data(data)` receives the bytes read. Once the peer sends no more,
-    `on_half_closed()` is called if it is set, else the stream ends. `on_end(reason)` is called once, when the stream ends
-    for any reason: "ended", "reset", "stuck" (the peer does not read and the output exceeded its bound), or the reason
-    given to `abort`."""
+    `on_half_closed()` is called if it is set, else the stream ends. `on_end(reason)` is called once, when the stream
+    ends for any reason: "ended", "reset", "stuck" (the peer does not read and the output exceeded its bound), or the
+    reason given to `abort`."""
 
     __slots__ = (
         "loop",
