A store that is made unresponsive does not leave a connection's reading paused

The new test fails before (reading stays paused for 10 s) and passes now; the store's tests (128), coordination and laboratory (216) pass.

--- a/driftshed/roster/serve.py
+++ b/driftshed/roster/serve.py
@@ -48,6 +48,7 @@
 
     def _on_data(self, stream: Stream, connection: Connection, data: bytes) -> None:
         if self.unresponsive:
+            stream.pause(False)
             return
         self.store.receive(connection, data, self.loop.clock())
         self._schedule_commit()
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -761,6 +761,17 @@
     served.until(lambda: one.received[-1] == ("state", SessionState.EXPIRED))
 
 
+def test_a_store_that_answers_again_reads_a_connection_that_waited_for_its_turn(served):
+    """Guards against reading that stays paused, since the rest of a long batch was dropped."""
+    connect = jute.write_connect_request(ConnectRequest(0, 30_000, 0, bytes(16)))
+    ping = jute.frame(jute.INT.pack(jute.XID_PING) + jute.INT.pack(jute.PING))
+    with socket.create_connection(served.server.address) as sock:
+        sock.sendall(connect + 300 * ping)
+        served.until(lambda: any(stream.paused for stream in served.server.streams))
+        served.server.unresponsive = True
+        served.until(lambda: not any(stream.paused for stream in served.server.streams))
+
+
 def test_the_client_tries_the_next_host_and_a_restarted_store_has_all_acknowledged_changes(served):
     closed_host = socket.socket()
     closed_host.bind(("127.0.0.1", 0))  # does not listen
