The log of each second begins with the worst case of each rule so far

The supervisor now works out the worst drain, load of a cold server, wait for a table, lines in the channel and messages to a proxy from its own orders and answers, and tells them first in the line of each second and in that of the stop; a new worst case beyond half of what is allowed has a line of its own. Withdrawn servers are named as the list has them, not in hex.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -23,7 +23,7 @@
 from random import Random
 
 from driftshed import interface as face
-from driftshed.figures import RunningMedian, ZoneLoad, fair_rate, median, weighted_median
+from driftshed.figures import RunningMedian, ZoneLoad, fair_rate, median, server_label, weighted_median
 
 LONG_AGO = float("-inf")  # a time before every other
 ANY_ZONE = -1  # zone of the single part of a small fleet
@@ -528,6 +528,11 @@
         age = min(self.now - self.started[i], self.warm_within + ENTRY_STEP_S) // ENTRY_STEP_S * ENTRY_STEP_S
         return min(1.0, self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within)
 
+    def recent_slowness(self, i: int) -> float:
+        """The highest latency over its baseline that a zone observes of a server; 0 without a recent view."""
+        recent = (view[i] for view in self.view if view[i][0] > self.now - VIEW_WINDOW_S)
+        return max((slowness for _, slowness, _ in recent), default=0.0)
+
     # ---- health, factors and admission ----
 
     def _evaluate_health(self) -> None:
@@ -568,7 +573,9 @@
             summary = "; ".join(
                 f"{slowness:.1f} x usual, {error_share:.0%} erred" for _, slowness, error_share in views
             )
-            self.orders.append(face.Log(f"withdrawn {self.server_ids[i].hex()}, {out_count} were out: {summary}"))
+            self.orders.append(
+                face.Log(f"withdrawn {server_label(self.server_ids[i])}, {out_count} were out: {summary}")
+            )
 
     def _complaint_counts(self, zone: int, i: int) -> bool:
         """Whether a zone's complaint of a server is old enough and has not expired."""
@@ -629,7 +636,7 @@
         if utilisation is not None:
             pressure, recovery = min(pressure, utilisation / BUSY_UTILISATION), 1.0
         # The best observed rate per unit of weight gives what a cold server can bear, also in an overload.
-        full_weight = self._full_weight()
+        full_weight = self.full_weight()
         self.best_unit_rate = max(
             self.best_unit_rate * DECAY_PER_EVALUATION, succeeded / elapsed / (full_weight or 1.0)
         )
@@ -659,7 +666,7 @@
         # Only here: levels that followed every swing of demand would always be pending and never be evaluated.
         self.target_levels = self._target_levels()
 
-    def _full_weight(self) -> float:
+    def full_weight(self) -> float:
         """The weight of all ready servers, without slow start."""
         return sum(self.listed_weight[i] * self.factor[i] for servers in self._ready_by_part() for i in servers)
 
@@ -711,7 +718,7 @@
         by_part = self._ready_by_part()
         ready = [i for servers in by_part for i in servers]
         entry_weight = sum(self.listed_weight[i] for i in ready) / max(1, len(ready)) * ENTRY_WEIGHT_SHARE
-        full_weight, part_rate = self._full_weight(), [0.0] * len(by_part)
+        full_weight, part_rate = self.full_weight(), [0.0] * len(by_part)
         total_rate = sum(self.rate[proxy] for proxy in self.target_part)
         # Guards against cold servers that get the work of proxies which should leave their part and still hold it.
         for proxy, part in self.target_part.items():
--- a/driftshed/figures.py
+++ b/driftshed/figures.py
@@ -78,3 +78,9 @@
         than half as far over."""
         before = self.relative_excess(source)
         return before > FAR_OVER and self.relative_excess(destination, rate) < RELIEF * before
+
+
+def server_label(server: bytes) -> str:
+    """The id of a server for a log: its text, or in hex where it is none."""
+    text = server.decode("ascii", "replace")
+    return text if text.isprintable() and text.isascii() else server.hex()
--- a/driftshed/node/__main__.py
+++ b/driftshed/node/__main__.py
@@ -72,7 +72,7 @@
         if number == signal.SIGHUP:
             reload()
             return
-        log("stopped", signal=number)
+        log("stopped", signal=number, worst=service.host.margins.fields())
         loop.stop()
 
     log(
--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -22,6 +22,7 @@
 from driftshed.node.link import Link
 from driftshed.node.notifications import NOTIFICATION_TIMEOUT_S, JoinState, NotificationReader
 from driftshed.node.relay import Channel, OrderQueue, ProtocolError
+from driftshed.node.rule_margins import RuleMargins
 
 JOIN_TIMEOUT_S = 1.2  # from connecting until a collector must have joined
 UNJOINED_SHARE = 1 / 2  # share of the descriptors for peers that have not joined
@@ -47,6 +48,13 @@
         self.channel = Channel(config.facts)
         self.withdrawn: set[face.Server] = set()  # by the current module
         self.undo_ops: list[dict] = []  # operations that revert withdrawals of a replaced module
+        self.margins = RuleMargins(config.facts, now)
+        self.on_worst: Callable[[dict], object] = lambda fields: None
+        self.on_turn = self._follow_turn
+
+    def _follow_turn(self, now: float, events: list, orders: list) -> None:
+        for fields in self.margins.turn(now, self.brain, events, orders):
+            self.on_worst(fields)
 
     def current_state_events(self) -> list:
         """The events from which a new module starts: the roster and the joined proxies."""
@@ -56,6 +64,7 @@
         """Reverts the withdrawals of a replaced module; the new one has its own tables."""
         self.undo_ops = [self.codec.encode_order(face.Withdraw(False, server), 0) for server in sorted(self.withdrawn)]
         self.withdrawn.clear()
+        self.margins.drains.module_replaced()
 
     @property
     def first_group(self) -> int:
@@ -138,6 +147,7 @@
         self.ready = False
         self.lines_logged = 0
         host = self.host
+        host.on_worst = lambda fields: self._log_limited("worst", **fields)
         host.on_log = lambda text: self._log_limited("decided", text=text)
         host.on_fault = self._handle_fault
         host.orders.on_refused = lambda op: self._log_limited("refused", op=op)
@@ -355,8 +365,12 @@
         self.discovery.check(now)
         host, brain = self.host, self.host.brain
         ready = [i for i, state in enumerate(brain.state) if state == face.READY]
+        for fields in host.margins.second(now, brain):
+            self._log_limited("worst", **fields)
         self.log(
             "second",
+            worst=host.margins.fields(),
+            open_drain=host.margins.open_drain(now),
             joined=len(host.join_state.joined),
             doubted=host.join_state.doubted,
             listed=len(host.roster.entries),
--- a/driftshed/standins/platform/virtual.py
+++ b/driftshed/standins/platform/virtual.py
@@ -13,6 +13,7 @@
 from driftshed.standins.platform.fleet import Fleet, Seat
 from driftshed.standins.platform.plans import Plan
 
+MARGINS_INTERVAL_S = 1.0  # between two looks at how near the rules are to breaking
 CALL_S = 0.002  # from a call to the relay to its answer
 
 
@@ -36,8 +37,14 @@
         for proxy in self.seat.relay.proxies.values():
             self.notify("SUBSCRIBE", self.seat.relay.subscription(proxy))
         self.due_at = float("inf")
+        self._watch_margins(self.host)
         self._turn()
 
+    def _watch_margins(self, host: SupervisorHost) -> None:
+        if self.host is host:
+            host.margins.second(self.timers.clock(), host.brain)
+            self.timers.after(MARGINS_INTERVAL_S, lambda: self._watch_margins(host))
+
     def kill(self) -> None:
         """Ends at once."""
         self.host = None
