--- a/driftshed/standins/platform/plans.py
+++ b/driftshed/standins/platform/plans.py
@@ -5,6 +5,9 @@
 from random import Random
 from typing import NamedTuple
 
+from driftshed.standins.platform.settings import USUAL_FIGURES, ChannelFigures, draw_figures
+from driftshed.standins.platform.troubles import Trouble, draw_troubles
+
 FIRST_BREAK_AT_S = 3.0
 
 
@@ -32,6 +35,8 @@
     slow_for: float = 0.0
     news_lag: float = 0.0  # of the old relay address around a reload, with real processes
     report_delay: float = 0.0  # from the end of a report's period until the supervisor has it
+    troubles: tuple[Trouble, ...] = ()
+    figures: ChannelFigures = USUAL_FIGURES
 
 
 def draw_plan(seed: int) -> Plan:
@@ -90,3 +95,25 @@
         sick=random.choice([0, 0, 3]),
         news_lag=random.uniform(0.2, 1.0),
     )
+
+
+def draw_troubled_plan(seed: int) -> Plan:
+    """The plan of a seed at the usual rhythm of restarts, with some of the troubles in `troubles.py` and with other
+    figures of the channels."""
+    random = Random(f"troubled plan {seed}")
+    return draw_plan(seed)._replace(
+        load=random.uniform(0.52, 0.66),
+        restart_interval=random.uniform(2.9, 4.1),
+        crash_share=0.25,
+        broken_per_second=random.uniform(1.0, 2.0),
+        crowd=0,
+        list_period=random.uniform(0.32, 1.1),
+        cut_off_at=None,
+        proxies_restarted=0,
+        supervisor_restart_at=None,
+        sick=0,
+        client_repeats=random.choice([0, 1]),
+        report_delay=random.uniform(0.37, 1.5),
+        troubles=draw_troubles(random),
+        figures=draw_figures(random),
+    )
--- a/driftshed/standins/platform/proxies.py
+++ b/driftshed/standins/platform/proxies.py
@@ -46,6 +46,7 @@
         self.servers: dict[str, FleetServer] = {}
         # Called before each try with the proxy and the server; returns whether a supervisor answers for the try.
         self.on_try: Callable[[FleetProxy, FleetServer], bool] = lambda proxy, server: False
+        self.is_reachable: Callable[[FleetProxy, FleetServer], bool] = lambda proxy, server: True
         # Called with the proxy, server, outcome of each try; and with the proxy, operation, success of each request.
         self.on_outcome: Callable[[FleetProxy, FleetServer, Outcome], object] = lambda *_: None
         self.on_request: Callable[[FleetProxy, int, bool], object] = lambda *_: None
@@ -100,7 +101,14 @@
         self.open[server.name] += 1
         fails = self.random.random() < server.error_share
         time_left = request.deadline - self.timers.clock()
-        server.take(request.work, informed, time_left, fails, lambda end: self._tried(request, tries, server, end))
+
+        def ended(outcome: Outcome) -> None:
+            self._tried(request, tries, server, outcome)
+
+        if self.is_reachable(self, server):
+            server.take(request.work, informed, time_left, fails, ended)
+        else:
+            self.timers.after(time_left, lambda: ended(Outcome(False, False, time_left)))
 
     def _pick(self, lines: dict[str, float]) -> str:
         """Of two drawn by weight, the one with fewer open tries."""
--- a/driftshed/standins/platform/relay.py
+++ b/driftshed/standins/platform/relay.py
@@ -52,6 +52,8 @@
         self.message_times: dict[int, deque[float]] = defaultdict(deque)  # of the open stream of each proxy, of late
         self.excess_messages: list[tuple[float, int]] = []  # time and proxy of messages beyond the message cap
         self.told_ready_at: dict[str, float] = {}  # of restarted servers: when the supervisor was told of the start
+        self.pace = 1.0  # of the channel, as a share of its usual one
+        self.slow_until, self.slowest = 0.0, 1.0  # when it last changed its pace, and how many times slower it was
         self.missing_cuts: list[tuple[float, str, float]] = []  # time, server, seconds since it was told
 
     # ---- streams ----------------------------------------------------------------------------------------------
@@ -180,6 +182,16 @@
 
     # ---- the channel ------------------------------------------------------------------------------------------
 
+    def slow_down(self, times: float) -> None:
+        """The channel sends so many times slower than usual from now on."""
+        self.slow_until, self.slowest = self.timers.clock(), 1 / self.pace
+        self.pace = 1 / times
+
+    def slowest_of_late(self, now: float) -> float:
+        """How many times slower than usual the channel is, or was within the longest grace at its pace then."""
+        of_late = now < self.slow_until + self.slowest * (self.facts.drain_grace + self.facts.worst_transit)
+        return max(1 / self.pace, self.slowest if of_late else 1.0)
+
     def _judge_message_cap(self, proxy: FleetProxy, now: float) -> None:
         times = self.message_times[proxy.number]
         while times and times[0] <= now - self.facts.message_span:
@@ -194,7 +206,7 @@
         while self.waiting and self.waiting[0][0] <= now:
             self.waiting.popleft()
         lines += self.facts.lines_per_message + len(message.marks)
-        self.channel_free_at = max(now, self.channel_free_at) + lines / self.facts.lines_per_second
+        self.channel_free_at = max(now, self.channel_free_at) + lines / (self.facts.lines_per_second * self.pace)
         self.waiting.append((self.channel_free_at, lines))
         self.most_waiting = max(self.most_waiting, sum(each for _, each in self.waiting))
         transit = self.random.uniform(EARLIEST_TRANSIT, 2 - EARLIEST_TRANSIT) * self.facts.transit
--- a/driftshed/standins/platform/virtual.py
+++ b/driftshed/standins/platform/virtual.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import msgspec
 
 from driftshed import interface as face
@@ -10,11 +12,15 @@
 from driftshed.net.loop import Timers
 from driftshed.node.config import SupervisorOptions
 from driftshed.node.service import SupervisorHost
+from driftshed.standins.platform.call_faults import CallFault
 from driftshed.standins.platform.fleet import Fleet, Seat
 from driftshed.standins.platform.plans import Plan
+from driftshed.standins.platform.troubles import Trouble
 
 MARGINS_INTERVAL_S = 1.0  # between two looks at how near the rules are to breaking
 CALL_S = 0.002  # from a call to the relay to its answer
+SILENT_CALL_S = 0.1  # until a call without an answer is given up
+RECONNECT_S = 0.003  # from the end of the connection for calls until another is up
 
 
 class VirtualSupervisor:
@@ -24,6 +30,7 @@
         """Starts with the list of its agent."""
         self.timers, self.options, self.seat, self.unix_offset = timers, options, seat, unix_offset
         self.host: SupervisorHost | None = None
+        self.stalled_until = 0.0
         self.revive()
 
     def revive(self) -> None:
@@ -49,6 +56,17 @@
         """Ends at once."""
         self.host = None
 
+    def terminate(self) -> None:
+        """Ends at once."""
+        self.kill()
+
+    def stall(self, seconds: float) -> None:
+        """Does nothing for so long; what comes meanwhile is handled then."""
+        self.stalled_until = self.timers.clock() + seconds
+
+    def play(self, trouble: Trouble, random: Random) -> None:
+        """Changes nothing: there are no connections."""
+
     def _raise(self, fault: object) -> None:
         raise RuntimeError(repr(fault)[:2000])
 
@@ -90,6 +108,9 @@
             return
         now = self.timers.clock()
         self.due_at = float("inf")
+        if now < self.stalled_until:
+            self._schedule(self.stalled_until)
+            return
         self.host.run_turn(now)
         call = self.host.next_call(now)
         if call is not None:
@@ -98,11 +119,34 @@
             self.timers.after(CALL_S, lambda: self._carry_out(operations) if self.host is host else None)
         elif not self.host.orders.waiting:
             self._schedule(max(now + 1e-3, self.host.module_due_at()))
+        elif self.host.orders.sent_at is None:
+            self._schedule(max(now + 1e-3, self.host.orders.not_before))
 
     def _carry_out(self, operations: list[dict]) -> None:
-        accepted = self.seat.relay.apply(operations)
-        answer = {"jsonrpc": "2.0", "id": self.host.orders.request_id, "result": {"accepted": accepted}}
-        self.host.orders.feed(msgspec.json.encode(answer) + b"\n", self.timers.clock())
+        fault, carried_out = self.seat.call_faults.draw()
+        self.seat.call_failed(fault)
+        accepted = self.seat.relay.apply(operations) if carried_out else 0
+        request_id, host = self.host.orders.request_id, self.host
+        seconds = max(0.0, self.stalled_until - self.timers.clock())
+        if fault is CallFault.NONE:
+            answer = {"jsonrpc": "2.0", "id": request_id, "result": {"accepted": accepted}}
+        elif fault is CallFault.THROTTLE:
+            answer = {"jsonrpc": "2.0", "id": request_id, "error": {"code": -32000, "message": "Throttling"}}
+        else:
+            seconds = max(seconds, RECONNECT_S + (SILENT_CALL_S if fault is CallFault.SILENCE else 0.0))
+            answer = None
+        if seconds:
+            self.timers.after(seconds, lambda: self._answered(answer) if self.host is host else None)
+        else:
+            self._answered(answer)
+
+    def _answered(self, answer: dict | None) -> None:
+        now = self.timers.clock()
+        if answer is None:
+            self.host.orders_connection_lost(now)
+            self.host.orders.connection_opened()
+        else:
+            self.host.orders.feed(msgspec.json.encode(answer) + b"\n", now)
         self._turn()
 
 
