A part that is left with cold servers alone admits no more than these can bear

After a zone was lost, or once a part had lost its last warm server, its cold servers got all of its work until the proxies had other tables, up to 5.5 times what they can do (4 allowed). Weights cannot limit a cold server that no warm one stands beside. The levels of such a part now go down in the message that removes the last warm server.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -10,7 +10,8 @@
  1. List changes: a draining or gone server loses its line at once, outside the caps; where proxies wait for their table
     it is withdrawn.
  2. Slow start: a cold server gets no more weight than it can certainly bear by now, and no more of all tries; one that
-    does worse than its warmth explains, or did before it restarted, stays at the first entry step.
+    does worse than its warmth explains, or did before it restarted, stays at the first entry step. A part of cold
+    servers alone admits what they can bear.
  3. Minimum availability: withdrawals for health are lifted when they would leave no warm, ready server.
  4. Paced orders: ordinary changes go out one marked round at a time; capacity is reserved for urgent ones.
  5. Tries and levels: under strain, further tries are cut first, then admission, the lowest value first.
@@ -174,6 +175,7 @@
         self.part_zone = []  # zone of the servers of each part
         # The share of all arrivals that a part of cold servers alone can bear; infinite with a warm server.
         self.bearable_share = {}
+        self.admitted_by_part = {}  # share of what comes to a part that its servers can bear; 1 with a warm one
         self.displaced = set()  # proxies that must leave a part that cannot bear them
         self.part_sample = defaultdict(lambda: [0.0, 0.0, 0.0])  # by zone and part, as solve_sample
         self.withdrawal_times = defaultdict(deque)  # by part, recent ones
@@ -761,6 +763,10 @@
             # Guards against overloading a cold server: whatever the demand, its share of all tries stays within what
             # it can bear, while warm servers do not fail. Harm: in a deep overload it is underused.
             warm_weight = sum(weights[i] for i in servers if i not in cold_limit and not withdrawals[i])
+            # Guards against cold servers that are left alone until the proxies of their part have moved.
+            borne_rate = self.bearable_share[part] * total_rate
+            is_over = not warm_weight and borne_rate < part_rate[part]
+            self.admitted_by_part[part] = borne_rate / part_rate[part] if is_over else 1.0
             self.bearable_share[part] = float("inf") if warm_weight else self.bearable_share[part]
             if warm_weight and sum(cold_limit.values()) < 1:
                 for i, share in cold_limit.items():
@@ -926,11 +932,9 @@
         self._give_up_lost_answers()
         removals, due_cuts, cuts, ordinary = self._line_changes(weights, withdrawals)
         short_parts = self._restore_short_parts(removals, cuts, ordinary, weights, withdrawals)
-        for k, (level, tries) in enumerate(self.target_levels):
-            for part in range(len(self.part_zone)):
-                present, present_tries = self.current_levels.get((part, k), (0.0, None))
-                if present_tries != tries or abs(level - present) >= MIN_RELATIVE_CHANGE * present:
-                    ordinary.append((-1.0, part, face.SetLevel(part, level, 1 << k, tries)))
+        for part, order, is_urgent in self._level_changes():
+            # A cut for cold servers that are left alone goes with the removal of the others.
+            removals.append((LONG_AGO, part, order)) if is_urgent else ordinary.append((-1.0, part, order))
         holders: dict[int, list[int]] = defaultdict(list)
         for proxy in self.proxy_zone:
             holders[self.held_part.get(proxy)].append(proxy)  # None: those that hold tables of other supervisors
@@ -991,6 +995,29 @@
                 ordinary.append((key, part if present else NO_PART, face.Withdraw(withdrawals[i], self.server_ids[i])))
         return removals, due_cuts, cuts, ordinary
 
+    def _level_changes(self) -> list[tuple[int, face.SetLevel, bool]]:
+        """The parts whose levels should change, the order, and whether it is urgent: a cut since only cold servers
+        are left, which cannot bear the part. A part never gets less than the smallest admitted share."""
+        changes = []
+        for k, (fleet_level, tries) in enumerate(self.target_levels):
+            for part in range(len(self.part_zone)):
+                share = max(MIN_ADMITTED_SHARE, self.admitted_by_part.get(part, 1.0))
+                level = (
+                    fleet_level if share == 1 or self.level_form == "off" else self._part_level(k, fleet_level, share)
+                )
+                present, present_tries = self.current_levels.get((part, k), (0.0, None))
+                if present_tries != tries or abs(level - present) >= MIN_RELATIVE_CHANGE * present:
+                    is_urgent = share < 1 and level < present and present_tries is not None
+                    changes.append((part, face.SetLevel(part, level, 1 << k, tries), is_urgent))
+        return changes
+
+    def _part_level(self, operation: int, fleet_level: float, share: float) -> float:
+        """The level of one operation that admits this share of what comes to a part."""
+        if self.level_form == "share":
+            return min(fleet_level, share)
+        rates = sorted(rates[operation] for rates in self.demand.values())
+        return min(fleet_level, fair_rate(rates, share))
+
     def _restore_short_parts(
         self, removals: list, cuts: list, ordinary: list, weights: list[float], withdrawals: list[bool]
     ) -> set[int]:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -98,6 +98,25 @@
     world.run(4, report_all, judge)
 
 
+def test_a_part_whose_warm_servers_leave_admits_no_more_than_its_cold_servers_can_bear():
+    """Guards against a cold server that gets all work of its part until the proxies have moved."""
+    world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
+    part, cold = restart_servers_of_a_part(world, warm=1)
+    brain = world.brain
+    world.run(1, report_all)
+    warm = next(i for i, each in enumerate(brain.part) if each == part and i not in cold)
+    world.list_server(brain.server_ids[warm], face.GONE)
+    before = len(world.order_log)
+    world.handle_events()
+    orders = [order for _, order in world.order_log[before:]]
+    levels = [order for order in orders if isinstance(order, face.SetLevel) and order.table == part]
+    assert face.SetLine(brain.server_ids[warm], 0.0, part) in orders
+    assert {order.operations for order in levels} == {1 << k for k in range(len(world.facts.operations))}
+    rate = sum(brain.rate[proxy] for proxy, held in brain.held_part.items() if held == part)
+    borne = brain.bearable_share[part] * sum(brain.rate.values())
+    assert all(order.level * rate <= 1.001 * max(borne, 0.1 * rate) for order in levels)
+
+
 def test_proxies_that_should_leave_a_part_count_for_its_cold_servers_while_they_hold_it():
     """Guards against a limit that goes by where proxies should be, while their moves wait for answers."""
     world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
--- a/tests/test_platform_troubles.py
+++ b/tests/test_platform_troubles.py
@@ -65,6 +65,15 @@
     assert not fleet.breaks, fleet.breaks[:5]
 
 
+@pytest.mark.parametrize("seed", [5, 54, 109])
+def test_cold_servers_bear_what_they_are_sent_after_a_zone_is_lost(seed):
+    """Guards against parts whose few servers that are left are cold, and get all work and all further tries."""
+    plan = draw_troubled_plan(seed)
+    fleet = play(fleet_options(SUPERVISORS, PROXIES, plan.figures), seed, 40.0, plan)
+    assert not fleet.breaks, fleet.breaks[:5]
+    assert fleet.worst.multiple <= fleet.facts.tip_multiple, fleet.worst
+
+
 @pytest.mark.parametrize("seed", [12, 21, 38])
 def test_drains_are_in_time_though_calls_break_while_many_proxies_join(seed):
     """Guards against drains that wait for seconds since calls for other proxies were repeated."""
