--- a/driftshed/node/service.py
+++ b/driftshed/node/service.py
@@ -34,6 +34,7 @@
 READY_TIMEOUT_S = 2.0  # then pings are answered whether or not relay and discovery have responded
 RELAY_WATCHERS = 2  # connections with notifications of proxies
 FIXED_SETTINGS = ("name", "listen", "sockets", "facts")  # fields that a reload does not change
+SILENCE_CHECK_INTERVAL_S = 0.1
 MAX_OWED_BYTES = 1 << 16  # of answers to pings held back for one peer until the supervisor is ready
 
 
@@ -184,6 +185,7 @@
         self.discovery = Discovery(self, config.discovery)
         self.next_second = self.started_at + 1
         loop.at(self.next_second, self._every_second)
+        loop.after(SILENCE_CHECK_INTERVAL_S, self._check_silence)
         self._schedule_turn()
 
     def _log_limited(self, event: str, level: str = "info", **fields: object) -> None:
@@ -374,6 +376,13 @@
 
     # ---- each second ------------------------------------------------------------------------------------------
 
+    def _check_silence(self) -> None:
+        """Guards against proxies that join unseen meanwhile: a connection that has gone silent is left at once."""
+        self.loop.after(SILENCE_CHECK_INTERVAL_S, self._check_silence)
+        now = self.loop.clock()
+        for follower in (*self.watchers, self.discovery):
+            follower.check_silence(now)
+
     def _every_second(self) -> None:
         now = self.loop.clock()
         self.max_delay_s = max(self.max_delay_s, now - self.next_second)
@@ -381,8 +390,7 @@
         self.loop.at(self.next_second, self._every_second)
         self.check_ready()
         for watcher in self.watchers:
-            watcher.check(now)
-        self.discovery.check(now)
+            watcher.reconcile()
         host, brain = self.host, self.host.brain
         ready = [i for i, state in enumerate(brain.state) if state == face.READY]
         for fields in host.margins.second(now, brain):
@@ -531,7 +539,7 @@
             self.service._log_limited(f"{self.name}_{self.malformed}", reason=reason)
             link.drop(self.malformed)
 
-    def check(self, now: float) -> None:
+    def check_silence(self, now: float) -> None:
         """Drops a silent connection. Guards against a connection that stays open and sends nothing, or only bytes that
         never complete a line."""
         if self.link.connected and now - max(self.opened_at, self.reader.received_at) > self.silence_timeout:
@@ -560,9 +568,8 @@
         to report: the new one lists them as they were."""
         return self.reader.stands_alone
 
-    def check(self, now: float) -> None:
-        """Also corrects proxies whose state this connection has contradicted for longer than the maximum lag."""
-        super().check(now)
+    def reconcile(self) -> None:
+        """Corrects proxies whose state this connection has contradicted for longer than the maximum lag."""
         if self.link.connected:
             self.service.handle_events(self.reader.reconcile())
 
--- a/driftshed/standins/platform/processes.py
+++ b/driftshed/standins/platform/processes.py
@@ -429,6 +429,9 @@
         for endpoint in self.endpoints:
             endpoint.close()
         self.log.close()
+        errors = [line for line in Path(self.log.name).read_text().splitlines() if '"level":"error"' in line]
+        if errors:
+            return f"n{self.seat.number} logged {errors[0][:500]}"
         if crashed is not None:
             return f"n{self.seat.number} ended with {crashed} in the play"
         return f"n{self.seat.number} ended with {code} after SIGTERM" if code else ""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 from driftshed.net.loop import Loop
 from driftshed.net.stream import Listener, Stream
 from driftshed.node import link as links
+from driftshed.node.notifications import NOTIFICATION_TIMEOUT_S
 from driftshed.node.relay import Channel, OrderQueue, Repeat
 from tests.helpers import FACTS
 from tests.platforms import HEAD, KINDS, Platform, chunk, nested, roster_update, server_entry
@@ -182,6 +183,18 @@
     assert len(bindings(platform)) == attached
 
 
+def test_news_connections_that_go_silent_are_left_within_a_few_tenths_of_a_second(platform):
+    """Guards against joins that stay unseen for a second more, until silence is looked for."""
+    platform.start(0)
+    platform.loop.run(platform.service.started_at + 0.3)
+    platform.notify_all("ping")
+    readers = [watcher.reader for watcher in platform.service.watchers]
+    platform.until(lambda: any(event == "news_lost" for event, _ in platform.logged))
+    assert [fields["reason"] for event, fields in platform.logged if event == "news_lost"][0] == "silent"
+    silent_for = platform.loop.clock() - max(reader.received_at for reader in readers)
+    assert NOTIFICATION_TIMEOUT_S <= silent_for < NOTIFICATION_TIMEOUT_S + 0.4
+
+
 # ---- calls -----------------------------------------------------------------------------------------------------------
 
 NARROW = nested(FACTS + KINDS + "domain.queueCap=120\n")
