--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -54,6 +54,17 @@
         assert f"KNOWN RED test_it.py::{line}" in output
 
 
+def test_what_is_listed_for_some_runs_may_fail_or_pass(tmp_path):
+    """Guards against a fault of some runs that fails others when listed, or that is passed over unprinted."""
+    code, output = run(tmp_path, "test_it.py::test_bad in some runs: odd (issue 7)\n", "test_it.py::test_bad")
+    assert code == 0 and "1 xfailed" in output
+    assert "KNOWN RED test_it.py::test_bad: in some runs: odd (issue 7)" in output
+    code, output = run(tmp_path, "test_it.py::test_good in some runs: odd (issue 7)\n", "test_it.py::test_good")
+    assert code == 0 and "1 passed" in output and "KNOWN RED" not in output
+    code, output = run(tmp_path, "test_it.py::test_good: odd (issue 7)\n", "test_it.py::test_good")
+    assert code == 1
+
+
 def test_a_fault_that_is_not_listed_fails_the_run_beside_one_that_is(tmp_path):
     code, output = run(tmp_path, FAILING)
     assert code == 1 and "1 failed" in output and "1 error" in output and "1 xfailed" in output
