--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -23,7 +23,7 @@
             continue
         match = ENTRY.fullmatch(line.strip())
         if match is None:
-            raise pytest.UsageError(f"{FILE}: {line!r}: expected 'FILE.py::TEST[ in some runs]: CAUSE (issue N)'")
+            raise pytest.UsageError(f"{FILE}: {line!r}: expected 'FILE.py::TEST: CAUSE (issue N)'")
         if match["test"] in causes:
             raise pytest.UsageError(f"{FILE}: {line!r}: named twice")
         if len(causes) == MAX_ENTRIES:
