--- a/driftshed/standins/platform/fleet_troubles.py
+++ b/driftshed/standins/platform/fleet_troubles.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from driftshed.standins.platform.fleet import Fleet
+    from driftshed.standins.platform.seat import Seat
 
 NOTICED_S = (0.68, 4.2)  # from the end of a server's process until the list can tell it
 NEIGHBOUR_SPELL_S = (1.0, 5.0)  # for which a neighbour is on or off
@@ -200,7 +201,7 @@
                 number * (trouble.lasts + RESTART_SPREAD_S), lambda seat=seat: self._restart(seat, trouble)
             )
 
-    def _restart(self, seat, trouble: Trouble) -> None:
+    def _restart(self, seat: Seat, trouble: Trouble) -> None:
         if seat.alive:
             self.fleet.terminate(seat, trouble.lasts)
 
@@ -209,7 +210,7 @@
         for seat in self.fleet.seats:
             self._stall_later(seat, trouble.size, ends_at)
 
-    def _stall_later(self, seat, seconds: float, ends_at: float) -> None:
+    def _stall_later(self, seat: Seat, seconds: float, ends_at: float) -> None:
         if self.timers.clock() >= ends_at:
             return
         if seat.alive:
--- a/driftshed/standins/platform/processes.py
+++ b/driftshed/standins/platform/processes.py
@@ -20,8 +20,9 @@
 from driftshed.node.resp import encode_message
 from driftshed.standins.platform.bad_clients import BadClients
 from driftshed.standins.platform.call_faults import CallFault
-from driftshed.standins.platform.fleet import PROXIES, RELOAD_AT_S, SUPERVISORS, Fleet, Seat
+from driftshed.standins.platform.fleet import PROXIES, RELOAD_AT_S, SUPERVISORS, Fleet
 from driftshed.standins.platform.plans import Plan, draw_plan
+from driftshed.standins.platform.seat import Seat
 from driftshed.standins.platform.settings import ChannelFigures, fleet_configuration, fleet_options
 from driftshed.standins.platform.troubles import Trouble
 
--- a/driftshed/standins/platform/virtual.py
+++ b/driftshed/standins/platform/virtual.py
@@ -13,8 +13,9 @@
 from driftshed.node.config import SupervisorOptions
 from driftshed.node.service import SupervisorHost
 from driftshed.standins.platform.call_faults import CallFault
-from driftshed.standins.platform.fleet import Fleet, Seat
+from driftshed.standins.platform.fleet import Fleet
 from driftshed.standins.platform.plans import Plan
+from driftshed.standins.platform.seat import Seat
 from driftshed.standins.platform.troubles import Trouble
 
 MARGINS_INTERVAL_S = 1.0  # between two looks at how near the rules are to breaking
--- a/tests/test_platform_troubles.py
+++ b/tests/test_platform_troubles.py
@@ -7,9 +7,10 @@
 
 from driftshed.standins.platform import bad_clients, troubles
 from driftshed.standins.platform.call_faults import CallFault, CallFaults
-from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, LimitClock
+from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS
 from driftshed.standins.platform.plans import Plan, draw_troubled_plan
 from driftshed.standins.platform.processes import Play
+from driftshed.standins.platform.seat import LimitClock
 from driftshed.standins.platform.settings import ChannelFigures, fleet_options
 from driftshed.standins.platform.troubles import Trouble
 from driftshed.standins.platform.virtual import play
