--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -56,7 +56,7 @@
 # Of the tip multiple: the load that a cold server may be given. A machine that goes slow while its server is cold has
 # been sent too much before any report can show it.
 SLOW_START_LIMIT = 1 / 8
-URGENT_CUT_RATIO = 1 / 4  # of the present weight of a cold server: a cut below it is urgent
+URGENT_CUT_RATIO = 1 / 2  # of the present weight of a cold server: a cut below it is urgent
 # Of the weight that a part should have: where less of it remains after removals, its other changes become urgent too.
 REMAINING_WEIGHT_THRESHOLD = 1 / 2
 SOLVE_EXPONENT = 1 / 3  # of the latency ratio in a solve: most latency is queueing, which reacts with a delay
