--- a/driftshed/node/rule_margins.py
+++ b/driftshed/node/rule_margins.py
@@ -9,6 +9,7 @@
 from driftshed.brain import Brain
 from driftshed.figures import server_label
 from driftshed.node.drain_monitor import DrainMonitor, Release
+from driftshed.node.status import weight_by_part
 
 NAME_LENGTH = 16  # characters of a server's id in a log line, which may be cut short elsewhere
 NOTABLE_SHARE = 1 / 2  # of what is allowed: beyond it a new worst case has a line of its own
@@ -69,8 +70,8 @@
         load = heaviest_cold_load(brain)
         if load is not None:
             lines.append(self._observe(now, "cold", load.multiple, load.server, None, **load.details()))
-        span = [(sum(at > now - brain.message_span for at in times), p) for p, times in brain.message_times.items()]
-        count, proxy = max(span, default=(0, None))
+        sent = ((brain.messages_sent(proxy), proxy) for proxy in brain.message_times)
+        count, proxy = max(sent, default=(0, None))
         lines.append(self._observe(now, "messages", count, None, proxy))
         return [line for line in lines if line]
 
@@ -86,6 +87,8 @@
         return [round(now - hold.since, 2), server_label(hold.server)[:NAME_LENGTH], hold.proxy]
 
     def _observe_drain(self, now: float, brain: Brain, release: Release) -> dict | None:
+        if release.seconds <= self.worst["drain"].value:
+            return None
         hold = release.hold
         missing = [proxy for proxy, rows in self.drains.holds.items() if hold.server in rows]
         details = {
@@ -133,9 +136,7 @@
     It is what all servers would answer of the demand per weight, if each were as loaded as it is: with the demand of
     all proxies at the weight of all warm servers, a server that gets its part by weight has 1 by its warmth.
     """
-    weight, rate = Counter(), Counter()
-    for i, part in enumerate(brain.part):
-        weight[part] += brain.weight_in_force(i)
+    weight, rate = weight_by_part(brain), Counter()
     for proxy, part in brain.held_part.items():
         rate[part] += brain.rate.get(proxy, 0.0)
     total_rate, full_weight = sum(rate.values()), brain.full_weight()
--- a/driftshed/node/status.py
+++ b/driftshed/node/status.py
@@ -31,7 +31,7 @@
 
 def cold_share(brain: Brain) -> float:
     """The largest share of the weight in one part of the table that cold servers have by the orders sent so far."""
-    weight, cold_weight = _weight_by_part(brain), Counter()
+    weight, cold_weight = weight_by_part(brain), Counter()
     for i, part in enumerate(brain.part):
         cold_weight[part] += 0.0 if brain.is_warm(i) else brain.weight_in_force(i)
     return round(max((cold_weight[part] / total for part, total in weight.items() if total), default=0.0), 3)
@@ -40,7 +40,7 @@
 def cold_lines(brain: Brain) -> list[tuple[str, float, float, bool]]:
     """Of the cold servers with the largest share of a part, by the orders sent so far: id, seconds since the start,
     share of the part's weight, and whether the line was ordered before the start was known."""
-    weight, rows = _weight_by_part(brain), []
+    weight, rows = weight_by_part(brain), []
     for i, part in enumerate(brain.part):
         if brain.weight_in_force(i) and brain.state[i] == face.READY and not brain.is_warm(i):
             share = brain.weight_in_force(i) / weight[part]
@@ -49,7 +49,7 @@
     return sorted(rows, key=lambda row: -row[2])[:MAX_LOGGED_LINES]
 
 
-def _weight_by_part(brain: Brain) -> Counter[int]:
+def weight_by_part(brain: Brain) -> Counter[int]:
     """The weight in each part of the table that proxies may pick by the orders sent so far."""
     weight: Counter[int] = Counter()
     for i, part in enumerate(brain.part):
