Plays draw queues of 1.5 to 5 s, the corner of the settings and floods of joins at a reload

A play in which fewer servers of a zone were listed than a standing table has lines ended in a ValueError; the table has those that are listed.

--- a/driftshed/standins/platform/__main__.py
+++ b/driftshed/standins/platform/__main__.py
@@ -10,7 +10,7 @@
 
 from driftshed.standins.platform import processes, virtual
 from driftshed.standins.platform.fleet import PROXIES, RULE_SLACK_S, SUPERVISORS, Fleet
-from driftshed.standins.platform.plans import draw_dense_plan, draw_plan, draw_slow_plan, draw_troubled_plan
+from driftshed.standins.platform.plans import DRAWS
 from driftshed.standins.platform.settings import fleet_options
 
 
@@ -21,13 +21,14 @@
 @click.option("--dense", is_flag=True, help="Restarts so dense that few servers are warm.")
 @click.option("--slow", is_flag=True, help="Slow machines, and supervisors that are away for long.")
 @click.option("--troubled", is_flag=True, help="Troubles of servers, clients, proxies, supervisors and networks.")
+@click.option("--flood", is_flag=True, help="Many proxies join at a reload, at the corner of the settings.")
 @click.option("--real", is_flag=True, help="Real processes over loopback instead of virtual time.")
-def main(first_seed: int, plays: int, seconds: float, dense: bool, slow: bool, troubled: bool, real: bool) -> None:
+def main(first_seed: int, plays: int, seconds: float, real: bool, **kinds: bool) -> None:
     """Plays a fleet of three supervisors; exits with 1 if a rule was broken."""
     broken = False
+    draw = DRAWS[next((name for name, chosen in kinds.items() if chosen), "usual")]
     for seed in range(first_seed, first_seed + plays):
         failures: list[str] = []
-        draw = draw_dense_plan if dense else draw_slow_plan if slow else draw_troubled_plan if troubled else draw_plan
         plan = draw(seed)
         if real:
             with tempfile.TemporaryDirectory() as folder:
--- a/driftshed/standins/platform/fleet.py
+++ b/driftshed/standins/platform/fleet.py
@@ -13,7 +13,7 @@
 from driftshed.net.loop import Timers
 from driftshed.standins.platform.discovery import listed_entry
 from driftshed.standins.platform.fleet_troubles import FleetTroubles
-from driftshed.standins.platform.plans import FIRST_BREAK_AT_S, Plan, draw_plan
+from driftshed.standins.platform.plans import FIRST_BREAK_AT_S, RELOAD_AT_S, Plan, draw_plan
 from driftshed.standins.platform.proxies import UNLIMITED, FleetProxy, Request
 from driftshed.standins.platform.seat import Seat
 from driftshed.standins.platform.servers import ColdLoad, ColdLoadJudge, FleetServer, Outcome
@@ -34,7 +34,6 @@
 NOTICED_CRASH_S = (0.0, 0.05)  # until the end of a stream whose other side has crashed is noticed
 NOTICE_S, REDIAL_S = (0.31, 1.9), (0.33, 2.4)  # until a broken stream is noticed, and until the proxy joins again
 FIRST_RESTART_AT_S = 3.3
-RELOAD_AT_S = 24.5
 RULE_SLACK_S = 0.3  # by which the rules' time limits are longer on sockets
 RULES_BEGIN_S = 1.0  # after the start of a supervisor
 SAMPLE_INTERVAL_S = 0.1
@@ -343,7 +342,7 @@
             entries = self.seats[0].agent.entries.values()
             zone = self.facts.zones[proxy.zone]
             near = [entry["id"] for entry in entries if entry["zone"] == zone and entry["state"] == "up"]
-            proxy.restart(dict.fromkeys(self.random.sample(near, STANDING_LINES), 1.0))
+            proxy.restart(dict.fromkeys(self.random.sample(near, min(STANDING_LINES, len(near))), 1.0))
 
     # ---- reports ----------------------------------------------------------------------------------------------
 
--- a/driftshed/standins/platform/plans.py
+++ b/driftshed/standins/platform/plans.py
@@ -5,10 +5,20 @@
 from random import Random
 from typing import NamedTuple
 
-from driftshed.standins.platform.settings import USUAL_FIGURES, ChannelFigures, draw_figures
+from driftshed.standins.platform.settings import (
+    CORNER_FIGURES,
+    USUAL_FIGURES,
+    ChannelFigures,
+    draw_figures,
+    draw_queue,
+)
 from driftshed.standins.platform.troubles import Trouble, draw_troubles
 
 FIRST_BREAK_AT_S = 3.0
+RELOAD_AT_S = 24.5
+NEWS_LAG_BEFORE_RELOAD_S = 1.5  # from when the old relay address tells late
+KILLED_BEFORE_RELOAD_S = (0.3, 2.0)  # so that the proxies of the killed supervisor join others as these reload
+CROWD_BEFORE_RELOAD_S = (0.7, 3.0)  # the same for streams that break
 
 
 class Plan(NamedTuple):
@@ -117,3 +127,41 @@
         troubles=draw_troubles(random),
         figures=draw_figures(random),
     )
+
+
+def draw_flood_plan(seed: int) -> Plan:
+    """The plan of a seed at the corner of the site's settings or within its ranges, with a larger queue than the least,
+    dense or usual restarts, slow machines, and many proxies that join as the supervisors reload."""
+    random = Random(f"flood plan {seed}")
+    killed_at = RELOAD_AT_S - random.uniform(*KILLED_BEFORE_RELOAD_S)
+    return draw_plan(seed)._replace(
+        load=random.uniform(0.52, 0.66),
+        restart_interval=random.choice([1.2, 1.6, 2.0, 3.0, 4.1]),
+        crash_share=0.25,
+        broken_per_second=random.uniform(1.0, 6.0),
+        first_break=34,
+        crowd_at=RELOAD_AT_S - random.uniform(*CROWD_BEFORE_RELOAD_S),
+        crowd=random.choice([40, 80]),
+        cut_off_at=None,
+        proxies_restarted=random.choice([0, 60]),
+        supervisor_restart_at=random.choice([killed_at, random.uniform(8.0, 40.0)]),
+        supervisor_away=random.uniform(6.7, 15.0),
+        sick=0,
+        list_period=random.uniform(0.32, 1.1),
+        slow=random.choice([0, 3]),
+        slow_pace=1 / random.uniform(2.0, 10.0),
+        slow_at=random.uniform(5.0, 30.0),
+        slow_for=random.uniform(11.0, 35.0),
+        news_lag=random.uniform(0.2, 1.0),
+        report_delay=random.uniform(0.37, 1.5),
+        figures=random.choice([CORNER_FIGURES._replace(queue=draw_queue(random)), draw_figures(random)]),
+    )
+
+
+DRAWS = {
+    "usual": draw_plan,
+    "dense": draw_dense_plan,
+    "slow": draw_slow_plan,
+    "troubled": draw_troubled_plan,
+    "flood": draw_flood_plan,
+}
--- a/driftshed/standins/platform/processes.py
+++ b/driftshed/standins/platform/processes.py
@@ -20,8 +20,8 @@
 from driftshed.node.resp import encode_message
 from driftshed.standins.platform.bad_clients import BadClients
 from driftshed.standins.platform.call_faults import CallFault
-from driftshed.standins.platform.fleet import PROXIES, RELOAD_AT_S, SUPERVISORS, Fleet
-from driftshed.standins.platform.plans import Plan, draw_plan
+from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, Fleet
+from driftshed.standins.platform.plans import NEWS_LAG_BEFORE_RELOAD_S, RELOAD_AT_S, Plan, draw_plan
 from driftshed.standins.platform.seat import Seat
 from driftshed.standins.platform.settings import ChannelFigures, fleet_configuration, fleet_options
 from driftshed.standins.platform.troubles import Trouble
@@ -32,7 +32,6 @@
 LISTEN_PORTS = (15000, 32000)
 PING_INTERVAL_S = 1.0
 EMPTY_LINE_INTERVAL_S = 2.0
-NEWS_LAG_BEFORE_RELOAD_S = 1.5  # from when the old relay address tells late
 OLD_ADDRESS_LASTS_S = 1.5  # after a reload, for the connections to it that are open
 CLOSE_WITHIN_S = 10.0  # of SIGTERM
 KILL_AFTER_S = 0.7  # SIGTERM, at a planned restart
--- a/driftshed/standins/platform/settings.py
+++ b/driftshed/standins/platform/settings.py
@@ -9,7 +9,10 @@
 
 SECOND_US = 1_000_000
 WORST_TRANSIT_RATIO = 2.5  # of the longest to the mean transit time of a message
-QUEUE_S = 1.5  # of the channel's rate: the lines that may wait in it
+LEAST_QUEUE_S, MOST_QUEUE_S = (
+    1.5,
+    5.0,
+)  # of the channel's rate: the lines that may wait in it
 
 
 class ChannelFigures(NamedTuple):
@@ -18,14 +21,22 @@
     lines_per_second: float = 1300.0
     transit: float = 0.306
     drain_grace: float = 3.0
+    queue: float = LEAST_QUEUE_S  # of the channel's rate
 
 
 USUAL_FIGURES = ChannelFigures()
+CORNER_FIGURES = ChannelFigures(1100.0, 0.49, 2.0)  # where least can be sent within the grace
+
+
+def draw_queue(random: Random) -> float:
+    """How long the lines that may wait in a channel take to leave it."""
+    return random.uniform(LEAST_QUEUE_S, MOST_QUEUE_S)
 
 
 def draw_figures(random: Random) -> ChannelFigures:
     """Figures within the ranges of the site."""
-    return ChannelFigures(random.uniform(1100.0, 1500.0), random.uniform(0.11, 0.49), random.uniform(2.0, 3.1))
+    figures = ChannelFigures(random.uniform(1100.0, 1500.0), random.uniform(0.11, 0.49), random.uniform(2.0, 3.1))
+    return figures._replace(queue=draw_queue(random))
 
 
 def to_us(seconds: float) -> int:
@@ -69,7 +80,7 @@
             "pick": "two",
             "proxies": proxies,
             "pushesAllowed": 30,
-            "queueCap": QUEUE_S * figures.lines_per_second,
+            "queueCap": figures.queue * figures.lines_per_second,
             "slices": 0,
             "staysLocal": [False, False],
             "transitUs": to_us(figures.transit),
--- a/driftshed/standins/platform/virtual.py
+++ b/driftshed/standins/platform/virtual.py
@@ -14,7 +14,7 @@
 from driftshed.node.service import SupervisorHost
 from driftshed.standins.platform.call_faults import CallFault
 from driftshed.standins.platform.fleet import Fleet
-from driftshed.standins.platform.plans import Plan
+from driftshed.standins.platform.plans import NEWS_LAG_BEFORE_RELOAD_S, RELOAD_AT_S, Plan
 from driftshed.standins.platform.seat import Seat
 from driftshed.standins.platform.troubles import Trouble
 
@@ -31,7 +31,7 @@
         """Starts with the list of its agent."""
         self.timers, self.options, self.seat, self.unix_offset = timers, options, seat, unix_offset
         self.host: SupervisorHost | None = None
-        self.stalled_until = 0.0
+        self.stalled_until = self.reconnected_at = 0.0
         self.revive()
 
     def revive(self) -> None:
@@ -93,7 +93,9 @@
             self._add(events)
 
     def reload(self) -> None:
-        """Changes nothing: there are no addresses."""
+        """Its calls change to another connection, and the news of the new one is in time."""
+        self.reconnected_at = self.timers.clock() + RECONNECT_S
+        self.seat.news_delay = 0.0
 
     def _add(self, events: list) -> None:
         self.host.add_events(events)
@@ -113,6 +115,9 @@
             self._schedule(self.stalled_until)
             return
         self.host.run_turn(now)
+        if now < self.reconnected_at:
+            self._schedule(self.reconnected_at)
+            return
         call = self.host.next_call(now)
         if call is not None:
             operations = msgspec.json.decode(call)["params"]["ops"]
@@ -159,6 +164,9 @@
     for seat in fleet.seats:
         seat.connect(VirtualSupervisor(timers, options._replace(seed=seed * 8 + seat.number), seat, 1.75e9))
     fleet.begin()
+    for seat in fleet.seats:
+        lag_from = RELOAD_AT_S - NEWS_LAG_BEFORE_RELOAD_S
+        timers.at(lag_from, lambda seat=seat: setattr(seat, "news_delay", max(seat.news_delay, fleet.plan.news_lag)))
     loop.run(seconds)
     fleet.check_caps()
     return fleet
--- a/tests/test_platform_troubles.py
+++ b/tests/test_platform_troubles.py
@@ -8,10 +8,10 @@
 from driftshed.standins.platform import bad_clients, troubles
 from driftshed.standins.platform.call_faults import CallFault, CallFaults
 from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS
-from driftshed.standins.platform.plans import Plan, draw_troubled_plan
+from driftshed.standins.platform.plans import RELOAD_AT_S, Plan, draw_flood_plan, draw_troubled_plan
 from driftshed.standins.platform.processes import Play
 from driftshed.standins.platform.seat import LimitClock
-from driftshed.standins.platform.settings import ChannelFigures, fleet_options
+from driftshed.standins.platform.settings import CORNER_FIGURES, ChannelFigures, fleet_options
 from driftshed.standins.platform.troubles import Trouble
 from driftshed.standins.platform.virtual import play
 
@@ -58,6 +58,19 @@
     assert at_the_ports == {kind.name for kind in troubles.KINDS if not kind.virtual}
 
 
+def test_plays_draw_large_queues_the_corner_of_the_settings_and_floods_at_a_reload():
+    """Guards against plays in which the cap on lines hides what a longer queue does to drains."""
+    plans = [draw_flood_plan(seed) for seed in range(200)]
+    queues = [plan.figures.queue for plan in plans] + [draw_troubled_plan(seed).figures.queue for seed in range(100)]
+    assert all(1.5 <= queue <= 5.0 for queue in queues)
+    assert min(queues) < 1.6 and max(queues) > 4.9
+    corners = [plan for plan in plans if plan.figures._replace(queue=0.0) == CORNER_FIGURES._replace(queue=0.0)]
+    assert 60 < len(corners) < 140
+    assert all(0.5 < RELOAD_AT_S - plan.crowd_at < 3.5 and plan.crowd for plan in plans)
+    killed_before = [plan for plan in plans if 0.0 < RELOAD_AT_S - plan.supervisor_restart_at < 2.5]
+    assert len(killed_before) > 60
+
+
 @pytest.mark.parametrize("seed", [6, 7, 17])
 def test_supervisors_keep_the_rules_through_drawn_troubles(seed):
     """Guards against rules that break where troubles of servers, proxies and the network come together."""
