What is ordered beside drains is bounded by the grace, not by the cap on lines

Seen by callers: work went to servers up to 1.8 s later than the grace allows, and proxies that joined waited up to 11.8 s for a table (virtual, a cap of 4 s of lines, a grace of 2 s).

Cause: only ordinary orders were bounded by what leaves the channel within the grace. Cuts, levels, moves, tables and withdrawals for proxies that wait filled the cap. The lines under way were also counted by answers alone, which come up to 1.2 s after a line has left, so that tables waited for room that was there.

Now a clock of the channel tells what it has yet to send, by its rate, corrected by answers that are too late; all orders but drains and the cuts of restarted servers leave room for a drain that concerns every proxy, and half of the lines at least. A drain may wait for the next urgent round, which is taken off. Withdrawals for proxies that wait are sent only where their tables cost more.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -24,6 +24,7 @@
 from random import Random
 
 from driftshed import interface as face
+from driftshed.channel_clock import ChannelClock
 from driftshed.figures import RunningMedian, ZoneLoad, fair_rate, median, server_label, weighted_median
 
 LONG_AGO = float("-inf")  # a time before every other
@@ -111,12 +112,16 @@
         self.message_overhead = facts.lines_per_message + 1  # in lines, with that of the mark
         self.round_lines = ORDINARY_SHARE * min(self.queue_cap, facts.lines_per_second * facts.drain_grace)
         self.drain_grace = facts.drain_grace
+        self.lines_per_second, self.worst_transit = facts.lines_per_second, facts.worst_transit
+        self.total_queue_cap = facts.queue_cap  # the host takes off `queue_cap` what others have in the channel
         # Seconds for which a proxy waits for its table until servers that have left are withdrawn for it.
         self.table_patience = (facts.drain_grace - facts.worst_transit) / 2
-        self.lines_within_grace = facts.lines_per_second * (facts.drain_grace - facts.worst_transit)
         self.message_cap = facts.message_cap
         self.message_span = facts.message_span
         self.urgent_interval = facts.message_span / facts.message_cap if facts.message_cap else facts.drain_grace / 10
+        # A drain may wait for the next urgent round first.
+        sending_time = facts.drain_grace - facts.worst_transit - self.urgent_interval
+        self.lines_within_grace = facts.lines_per_second * max(sending_time, facts.drain_grace / 10)
         self.answer_timeout = 4 * facts.worst_transit + 8 * facts.queue_cap / facts.lines_per_second
         self.evaluation_interval = facts.report_period / 2
         self.baseline_gain = facts.report_period / 2 / BASELINE_TIME_CONSTANT_S
@@ -194,6 +199,7 @@
         self.waiting_since = {}
         self.unanswered = {}  # the mark that the proxy has yet to answer
         self.channel = deque()  # messages under way: mark, lines, time
+        self.channel_clock = ChannelClock()
         # Lines that proxies may have been sent which only answer if they hold a withdrawn server: by mark and proxy.
         self.uncertain_lines: dict[int, dict[int, float]] = {}
         self.last_mark = 0
@@ -414,6 +420,7 @@
     def _handle_applied(self, applied: face.Applied) -> None:
         """Records a proxy's answer to a mark."""
         self.last_answer_at = self.now
+        self.channel_clock.answered(self.now, applied.mark, self.worst_transit)
         # Messages are delivered in order: this answer covers all messages before this mark too.
         if any(mark == applied.mark for mark, _, _ in self.channel):
             while self.channel[0][0] != applied.mark:
@@ -945,13 +952,15 @@
             holders[self.held_part.get(proxy)].append(proxy)  # None: those that hold tables of other supervisors
         selected, messages, round_answered = [], {}, not self.unanswered
         may_be_urgent = self.now >= self.next_urgent
-        for rows, may_go in ((removals, may_be_urgent), (due_cuts, True), (cuts, may_be_urgent)):
-            if may_go and self._select_orders(rows, holders, messages, self.queue_cap, 1.0, selected):
+        urgent_lines = self._beside_drains(self.lines_within_grace)
+        for rows, may_go, max_lines in (
+            (removals, may_be_urgent, float("inf")),
+            (due_cuts, True, float("inf")),
+            (cuts, may_be_urgent, urgent_lines),
+        ):
+            if may_go and self._select_orders(rows, holders, messages, max_lines, 1.0, selected):
                 self.next_urgent = self.now + self.urgent_interval
-        # Guards against drains that come late since other lines are ahead of them: a drain may concern every proxy.
-        drain_lines = len(self.proxy_zone) * (1 + self.message_overhead)
-        ordinary_lines = max(self.round_lines * ORDINARY_SHARE, self.lines_within_grace - drain_lines)
-        ordinary_lines = min(self.round_lines, ordinary_lines)
+        ordinary_lines = min(self.round_lines, urgent_lines)
         rows = [row for row in ordinary if round_answered or row[1] not in holders or row[1] in short_parts]
         self._select_orders(rows, holders, messages, ordinary_lines, ORDINARY_SHARE, selected)
         self._assign_tables(messages, ordinary_lines, round_answered, selected)
@@ -962,7 +971,9 @@
             self.last_mark = self.last_mark % MAX_MARK + 1
             selected.append(face.Mark(False, self.last_mark))
             self.levels_pending |= any(isinstance(order, face.SetLevel) for order in selected)
-            self.channel.append((self.last_mark, sum(messages.values()), self.now))
+            lines = sum(messages.values())
+            self.channel.append((self.last_mark, lines, self.now))
+            self.channel_clock.add(self.now, self.last_mark, lines / self.lines_per_second)
             uncertain = {proxy: lines for proxy, lines in messages.items() if proxy not in certain}
             if uncertain:
                 self.uncertain_lines[self.last_mark] = uncertain
@@ -971,6 +982,13 @@
             self.unanswered |= dict.fromkeys(certain, self.last_mark)
         self.orders += selected
 
+    def _beside_drains(self, lines: float) -> float:
+        """Of the lines that may be under way, those that other orders than drains may take.
+
+        Guards against drains that come late since other lines are ahead of them: a drain may concern every proxy."""
+        drain_lines = len(self.proxy_zone) * (1 + self.message_overhead)
+        return max(lines * ORDINARY_SHARE, lines - drain_lines)
+
     def _give_up_lost_answers(self) -> None:
         """Guards against a lost answer that blocks all later rounds."""
         while self.channel and self.now - self.channel[0][2] > self.answer_timeout:
@@ -1076,10 +1094,9 @@
 
     def _assign_tables(self, messages: dict, ordinary_lines: float, round_answered: bool, selected: list) -> None:
         """Selects the tables of the proxies that should hold another part, the longest waiting proxy first."""
-        part_lines = [0] * len(self.part_zone)
-        for part, line, withdrawn in zip(self.part, self.line_weight, self.withdrawn, strict=True):
-            part_lines[part] += bool(line) * (1 + withdrawn)
-        waiting_lines = self.waiting_lines() + sum(messages.values())
+        table_lines = self._table_lines()
+        waiting_lines, backlog = self.waiting_lines() + sum(messages.values()), self.backlog_lines(messages)
+        urgent_lines = self._beside_drains(self.lines_within_grace)
         overdue_proxy = self._choose_overdue_proxy()
         for proxy in sorted(self.target_part, key=lambda proxy: self.waiting_since.get(proxy, self.now)):
             part = self.target_part[proxy]
@@ -1089,17 +1106,18 @@
             is_move = is_move and self.bearable_share[held] == float("inf")
             if held == part or (is_move and not round_answered):
                 continue
-            size = 1 + part_lines[part] + len(self.objectives) + self.message_overhead
+            size = table_lines[part]
             share = ORDINARY_SHARE if is_move else 1.0
-            limit = self.queue_cap * share
-            # Reserves capacity for drains, unless the part that the proxy holds has no server.
-            if waiting_lines and (held is None or (not is_move and self.part_weight[held])):
-                limit = min(self.queue_cap * ORDINARY_SHARE, ordinary_lines)
+            limit = self.queue_cap * share if is_move else self._beside_drains(self.queue_cap)
+            max_backlog = ordinary_lines if is_move else urgent_lines
             # Guards against a channel that seems full of messages to proxies that have fallen silent: it is in order,
             # so the answer to one table shows that all before it have left.
             if proxy == overdue_proxy:
                 limit = self.queue_cap
-            if waiting_lines + size > limit or not self._may_message(proxy, share):
+            is_first = not backlog  # of an empty channel, one goes out however long it is
+            if (waiting_lines and waiting_lines + size > limit) or not self._may_message(proxy, share):
+                continue
+            if backlog + size > max_backlog and not is_first:
                 continue
             if proxy == overdue_proxy:
                 self.next_overdue_table = self.now + self.table_patience
@@ -1108,6 +1126,19 @@
             self.waiting_since.pop(proxy, None)
             messages[proxy] = messages.get(proxy, 0) + size
             waiting_lines += size
+            backlog += size
+
+    def _table_lines(self) -> list[int]:
+        """The lines of a message that assigns a part to a proxy, by part."""
+        lines = [1 + len(self.objectives) + self.message_overhead for _ in self.part_zone]
+        for part, line, withdrawn in zip(self.part, self.line_weight, self.withdrawn, strict=True):
+            lines[part] += bool(line) * (1 + withdrawn)
+        return lines
+
+    def _table_lines_of_waiting(self) -> int:
+        """The lines of the messages that assign their parts to all proxies that wait for them."""
+        table_lines = self._table_lines()
+        return sum(table_lines[self.target_part.get(proxy, 0)] for proxy in self.waiting_since)
 
     def _choose_overdue_proxy(self) -> int | None:
         """The proxy that may get its table beyond the reserve now, if any.
@@ -1142,8 +1173,10 @@
             costs |= {p: lines[part] for p in holders.get(part, []) if p in messages or p in self.unanswered}
         unwritten = [proxy for proxy in costs if proxy not in messages]
         used = self.waiting_lines() + sum(messages.values())
-        total = used + sum(costs.values()) + len(unwritten) * self.message_overhead
-        if not untold or total > self.queue_cap or not all(self._may_message(proxy, 1.0) for proxy in unwritten):
+        cost = sum(costs.values()) + len(unwritten) * self.message_overhead
+        # Their tables come as soon where they cost the channel no more.
+        fits = used + cost <= self.queue_cap and cost < self._table_lines_of_waiting()
+        if not untold or not fits or not all(self._may_message(proxy, 1.0) for proxy in unwritten):
             return
         for proxy, cost in costs.items():
             messages[proxy] = messages.get(proxy, self.message_overhead) + cost
@@ -1157,10 +1190,11 @@
         """Selects the orders that fit, the part with the lowest key first, and records them as the present state.
 
         `rows` are sort key, part and order; `holders` are the proxies of each part. `messages`, the lines of each
-        proxy's message, and `selected` are extended. They fit within `max_lines` and `cap_share` of the caps. Returns
-        whether any order was selected.
+        proxy's message, and `selected` are extended. They fit within `cap_share` of the caps, and within `max_lines`
+        together with those that the channel has yet to send. Returns whether any order was selected.
         """
         waiting, used, sent, may_write = self.waiting_lines(), sum(messages.values()), False, {}
+        backlog, first_part = self.backlog_lines({}), None
         first_key: dict[int, float] = {}
         for key, part, _ in rows:
             first_key[part] = min(key, first_key.get(part, key))
@@ -1170,10 +1204,13 @@
             if part not in may_write:
                 may_write[part] = all(proxy in messages or self._may_message(proxy, cap_share) for proxy in proxies)
             cost = sum(1 if proxy in messages else 1 + self.message_overhead for proxy in proxies)
-            is_first = not sent and cap_share < 1  # one order per round goes out even if it exceeds the round's lines
-            over_cap = waiting + used + cost > self.queue_cap * cap_share or (used + cost > max_lines and not is_first)
+            # The orders of one part may exceed `max_lines` where nothing is ahead of them.
+            is_first = not backlog and (not used or part == first_part)
+            over_cap = waiting + used + cost > self.queue_cap * cap_share
+            over_cap |= backlog + used + cost > max_lines and not is_first
             if cost and (over_cap or not may_write[part]):
                 continue
+            first_part = part if not used else first_part
             for proxy in proxies:
                 messages[proxy] = messages.get(proxy, self.message_overhead) + 1
             used, sent = used + cost, True
@@ -1202,3 +1239,9 @@
     def waiting_lines(self) -> float:
         """Lines of the messages under way in the channel."""
         return sum(lines for _, lines, _ in self.channel)
+
+    def backlog_lines(self, messages: dict[int, float]) -> float:
+        """Lines that the channel has yet to send by now, with those of further messages, by proxy."""
+        of_others = self.total_queue_cap - self.queue_cap
+        backlog = self.channel_clock.delay(self.now) * self.lines_per_second
+        return backlog + max(0.0, of_others) + sum(messages.values())
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -4,9 +4,9 @@
 import pytest
 
 from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS
-from driftshed.standins.platform.plans import draw_dense_plan, draw_slow_plan
+from driftshed.standins.platform.plans import draw_dense_plan, draw_flood_plan, draw_slow_plan
 from driftshed.standins.platform.processes import Play
-from driftshed.standins.platform.settings import fleet_options
+from driftshed.standins.platform.settings import CORNER_FIGURES, fleet_options
 from driftshed.standins.platform.virtual import play
 
 PLAY_S, PROCESS_PLAY_S = 56.0, 36.0
@@ -49,6 +49,24 @@
     assert fleet.worst.multiple <= fleet.facts.tip_multiple, fleet.worst
 
 
+@pytest.mark.parametrize("seed", [15, 27, 36])
+def test_drains_are_in_time_though_the_channel_may_hold_more_than_the_grace_allows(seed):
+    """Guards against orders that fill the channel up to its cap ahead of a drain: a cap of 4 s, a grace of 2 s."""
+    figures = CORNER_FIGURES._replace(queue=4.0)
+    plan = draw_dense_plan(seed)._replace(figures=figures, supervisor_restart_at=24.0, supervisor_away=8.0)
+    fleet = play(fleet_options(SUPERVISORS, PROXIES, figures), seed, PLAY_S, plan)
+    assert not fleet.breaks, fleet.breaks[:5]
+    assert fleet.longest_unbound[0] <= fleet.facts.bare_for, fleet.longest_unbound
+
+
+@pytest.mark.parametrize("seed", [33, 131])
+def test_a_flood_of_joins_at_a_reload_keeps_the_rules(seed):
+    """Guards against late drains and overloaded cold servers where many proxies join as the supervisors reload."""
+    plan = draw_flood_plan(seed)
+    fleet = play(fleet_options(SUPERVISORS, PROXIES, plan.figures), seed, PLAY_S, plan)
+    assert not fleet.breaks, fleet.breaks[:5]
+
+
 def test_three_processes_keep_the_rules_through_crashes_broken_streams_and_a_reload(tmp_path):
     """The same against real processes, over loopback, with a SIGHUP."""
     real_play = Play(5, tmp_path)
