Cold servers are measured against the warm weight in force, not against the wanted one

Seen by callers: cold servers fell over though their weights were small (virtual, 4.8 to 6.7 times what they can do, 4 allowed).

Cause, by traces of single tries: (a) a part with two warm servers allowed further tries, but one of them had just become warm and still had the weight of a cold one; the other ended unlisted, and each further try went to the cold ones. (b) A withdrawn server was wanted back as the last warm one of its part; its return waited 1.5 s behind other lines while the cold ones got all work. (c) The cut of the level of a part of cold servers alone waited for the next urgent round, though the cut of its last warm server's weight had gone out.

Now a warm server counts by what proxies have of it; the return of the last one, and cuts of levels, go at once.

Failed before: the three new tests of tests/test_cold_servers.py.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -772,8 +772,11 @@
                     cold_limit[i] = 1 - max(0.0, 1 - share) ** 0.5 if self.picks_of_two else share
             # Guards against overloading a cold server: whatever the demand, its share of all tries stays within what
             # it can bear, while warm servers do not fail. Harm: in a deep overload it is underused.
-            warm_weight = sum(weights[i] for i in servers if i not in cold_limit and not withdrawals[i])
-            warm_count = sum(i not in cold_limit and not withdrawals[i] for i in servers)
+            warm = [i for i in servers if i not in cold_limit and not withdrawals[i]]
+            warm_weight = sum(weights[i] for i in warm)
+            # Guards against cold servers that are measured against warm ones whose weight proxies do not have yet.
+            in_force = {i: min(weights[i], self.weight_in_force(i)) for i in warm}
+            warm_count = sum(in_force[i] >= weights[i] * REMAINING_WEIGHT_THRESHOLD for i in warm)
             (self.single_try_parts.add if cold_limit and warm_count <= 1 else self.single_try_parts.discard)(part)
             # Guards against cold servers that are left alone until the proxies of their part have moved.
             borne_rate = self.bearable_share[part] * total_rate
@@ -782,7 +785,8 @@
             self.bearable_share[part] = float("inf") if warm_weight else self.bearable_share[part]
             if warm_weight and sum(cold_limit.values()) < 1:
                 for i, share in cold_limit.items():
-                    weights[i] = min(weights[i], share * warm_weight / (1 - sum(cold_limit.values())))
+                    warm_in_force = sum(in_force.values()) or warm_weight
+                    weights[i] = min(weights[i], share * warm_in_force / (1 - sum(cold_limit.values())))
         return weights
 
     def _entry_step(self, i: int) -> float:
@@ -943,10 +947,10 @@
         """Appends the orders that lead from the present state to the target state, as far as the caps allow."""
         self._give_up_lost_answers()
         removals, due_cuts, cuts, ordinary = self._line_changes(weights, withdrawals)
-        short_parts = self._restore_short_parts(removals, cuts, ordinary, weights, withdrawals)
+        short_parts = self._restore_short_parts(removals, due_cuts, cuts, ordinary, weights, withdrawals)
         for part, order, is_urgent in self._level_changes():
-            # A cut for cold servers that are left alone goes with the removal of the others.
-            removals.append((LONG_AGO, part, order)) if is_urgent else ordinary.append((-1.0, part, order))
+            # Guards against cold servers that are left alone before the level of their part is cut.
+            due_cuts.append((LONG_AGO, part, order)) if is_urgent else ordinary.append((-1.0, part, order))
         holders: dict[int, list[int]] = defaultdict(list)
         for proxy in self.proxy_zone:
             holders[self.held_part.get(proxy)].append(proxy)  # None: those that hold tables of other supervisors
@@ -1052,32 +1056,36 @@
         return min(fleet_level, fair_rate(rates, share))
 
     def _restore_short_parts(
-        self, removals: list, cuts: list, ordinary: list, weights: list[float], withdrawals: list[bool]
+        self, removals: list, at_once: list, cuts: list, ordinary: list, weights: list, withdrawals: list[bool]
     ) -> set[int]:
         """Moves ordinary rows of warm servers to the urgent ones where little of a part is in force, the largest gain
-        of weight first, until enough of it is; where nothing else would be in force, those of all servers. Returns
-        these parts.
+        of weight first, until enough of it is; to those that go at once where no warm server is; where nothing else
+        would be in force, those of all servers. Returns these parts.
 
         Guards against a moment without a server, and against cold servers that inherit the share of warm ones that
         leave or are withdrawn. The other rows of these parts need not wait for answers, but only go out within the
         ordinary lines: together they would delay the removals.
         """
-        in_force = [0.0] * len(self.part_zone)
+        in_force, with_warm = [0.0] * len(self.part_zone), set()
         for i, part in enumerate(self.part):
-            in_force[part] += 0.0 if withdrawals[i] else min(weights[i], self.weight_in_force(i))
+            in_force[part] += (present := 0.0 if withdrawals[i] else min(weights[i], self.weight_in_force(i)))
+            if present and self.is_warm(i):
+                with_warm.add(part)
         needed = [weight * REMAINING_WEIGHT_THRESHOLD for weight in self.part_weight]
-        short = {part for part in set(self.held_part.values()) if in_force[part] <= needed[part]}
-        gains = [(self._gain(row[2], weights), row) for row in ordinary if row[1] in short]
+        held = set(self.held_part.values())
+        short = {part for part in held if in_force[part] <= needed[part]}
+        lacking = short | (held - with_warm)
+        gains = [(self._gain(row[2], weights), row) for row in ordinary if row[1] in lacking]
         gains = sorted((each for each in gains if each[0] > 0), key=lambda each: -each[0])
         warm_gains = [(gain, row) for gain, row in gains if self.is_warm(self.slot_of[row[2].server])]
         empty = {part for part in short if not in_force[part]} - {row[1] for _, row in warm_gains}
         for gain, row in warm_gains:
             _, part, order = row
-            if in_force[part] <= needed[part]:
+            if in_force[part] <= needed[part] or part not in with_warm:
                 ordinary.remove(row)
-                # With the removals only if those would leave nothing, so that they do not wait for it.
-                (cuts if in_force[part] else removals).append((LONG_AGO, part, order))
+                (cuts if part in with_warm else at_once).append((LONG_AGO, part, order))
                 in_force[part] += gain
+                with_warm.add(part)
         # All cold servers of a part together: one of them alone would get the share of all.
         for _, row in gains:
             if row[1] in empty:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -182,6 +182,48 @@
     assert (brain._target_weights(no_withdrawals)[cold[0]] < weight) == fresh
 
 
+def warm_slots(brain, part: int) -> list[int]:
+    return [i for i, each in enumerate(brain.part) if each == part and brain.is_warm(i)]
+
+
+def test_a_server_that_is_warm_but_has_hardly_any_weight_in_force_allows_no_further_tries():
+    """Guards against further tries that all go to cold servers, since the other warm one has its old weight still."""
+    world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
+    part, cold = restart_servers_of_a_part(world, warm=1)
+    brain = world.brain
+    world.run(1, report_all)
+    brain.started[cold[0]] -= 60.0  # warm from now on, with the weight of a cold server
+    brain._target_weights([False] * len(brain.server_ids))
+    assert part in brain.single_try_parts
+
+
+def test_the_last_warm_server_of_a_part_is_let_in_again_at_once():
+    """Guards against cold servers that are alone until the next urgent round, or until the channel has room."""
+    world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
+    part, _ = restart_servers_of_a_part(world, warm=2)
+    brain = world.brain
+    world.run(1, report_all)
+    withdrawn, other = warm_slots(brain, part)
+    brain.withdrawn_at[withdrawn] = world.now
+    world.run(1, report_all)
+    assert brain.withdrawn[withdrawn]
+    brain.next_urgent = world.now + 10.0
+    world.list_server(brain.server_ids[other], face.GONE)
+    assert face.Withdraw(False, brain.server_ids[withdrawn]) in world.handle_events()
+
+
+def test_a_part_whose_last_warm_server_restarts_gets_its_level_with_the_cut():
+    """Guards against cold servers that get all work of their part while the cut of its level waits for its turn."""
+    world = SimulatedFleet(servers=40, proxies=30, extra="domain.proxies=30\ndomain.minConnCap=200\n")
+    part, _ = restart_servers_of_a_part(world, warm=1)
+    brain = world.brain
+    world.run(1, report_all)
+    brain.next_urgent = world.now + 10.0
+    world.list_server(brain.server_ids[warm_slots(brain, part)[0]], face.READY, started=world.now)
+    levels = [order for order in world.handle_events() if isinstance(order, face.SetLevel) and order.table == part]
+    assert levels and all(order.level < brain.unlimited_level for order in levels)
+
+
 def play_failing_start(failing_from: str) -> tuple[float, float]:
     """Two servers restart, and one of them fails. Returns its largest weight from 1 s on, and that of the other after
     10 s."""
