Cold servers get a tenth of what makes them fall over, of a capacity that answers show

Seen by callers: a cold server whose machine went 7 to 10 times slower was sent more than it bears.

Now the multiple is that of the largest slow-down (a tenth), and the capacity is apart from it: without answers 0.6 of what age and kind promise, with answers what their latency shows, the more of them the more. Errors show nothing.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -25,6 +25,7 @@
 
 from driftshed import interface as face
 from driftshed.channel_clock import ChannelClock
+from driftshed.cold_capacity import LARGEST_SLOWDOWN, ColdSample, certain_capacity
 from driftshed.figures import RunningMedian, ZoneLoad, fair_rate, median, server_label, weighted_median
 
 LONG_AGO = float("-inf")  # a time before every other
@@ -56,7 +57,9 @@
 
 # Of the tip multiple: the load that a cold server may be given. A machine that goes slow while its server is cold has
 # been sent too much before any report can show it.
-SLOW_START_LIMIT = 1 / 8
+SLOW_START_LIMIT = 1 / LARGEST_SLOWDOWN
+# After a start, reports may still tell of what the server did before.
+OLD_REPORTS_S = 2.0
 URGENT_CUT_RATIO = 1 / 2  # of the present weight of a cold server: a cut below it is urgent
 # Of the weight that a part should have: where less of it remains after removals, its other changes become urgent too.
 REMAINING_WEIGHT_THRESHOLD = 1 / 2
@@ -144,7 +147,7 @@
         self.slot_of = {}  # slot of each server, by id
         self.gone_slots = {}  # slots of servers that are gone, the longest gone first
         # Servers: parallel arrays, indexed by slot.
-        self.server_arrays = [[] for _ in range(18)]
+        self.server_arrays = [[] for _ in range(19)]
         self.server_ids = self.server_arrays[0]
         self.kind = self.server_arrays[1]
         self.state = self.server_arrays[2]
@@ -165,6 +168,7 @@
         self.left_at = self.server_arrays[15]  # time since when the server is not ready
         self.line_sent = self.server_arrays[16]  # time when the present line was ordered
         self.held_until = self.server_arrays[17]  # time until which a cold server stays at its first entry step
+        self.cold_sample = self.server_arrays[18]  # ColdSample since the last start
         # What each zone observes of each server: parallel arrays, indexed by zone and slot.
         self.zone_arrays = [[[] for _ in zones] for _ in range(5)]
         self.reports = self.zone_arrays[0]  # queues of time, tries, errored tries, latency
@@ -314,6 +318,7 @@
             self._begin_entry(i, LONG_AGO if self.awaiting_first_list else self.now)
             if (started > self.started[i] or is_new) and not self.awaiting_first_list:
                 self.factor[i] = self._starting_factor(i, entry.kind, is_new)
+                self.cold_sample[i] = ColdSample()
         self._set_state(i, entry.state)
         self.started[i] = max(started, self.started[i])
         self.gone_slots.setdefault(i) if entry.state == face.GONE else self.gone_slots.pop(i, None)
@@ -355,7 +360,7 @@
             del self.slot_of[self.server_ids[i]], self.gone_slots[i]
         self.slot_of[entry.server] = i
         initial = entry.server, entry.kind, face.GONE, LONG_AGO, LONG_AGO, None, 1.0, 1.0, [0.0] * 3, [0.0] * 3
-        initial = *initial, None, 0, 0.0, False, LONG_AGO, self.now, LONG_AGO, LONG_AGO
+        initial = *initial, None, 0, 0.0, False, LONG_AGO, self.now, LONG_AGO, LONG_AGO, ColdSample()
         for array, value in zip(self.server_arrays, initial, strict=True):
             array[i : i + 1] = [value]
         for zone in range(len(self.reports)):
@@ -461,6 +466,8 @@
             sample[0] += heard.tries
             sample[1] += succeeded
             sample[2] += duration
+        if self.now - self.started[i] >= OLD_REPORTS_S and not self.is_warm(i):
+            self.cold_sample[i].add(heard.tries, succeeded, success_time)
         if self.utilisation_index is not None and heard.load:
             self.utilisation[i] = heard.load[self.utilisation_index]
         self.reports[heard.zone][i].append((self.now, heard.tries, heard.tries - succeeded, heard.latency))
@@ -542,6 +549,12 @@
         age = min(self.now - self.started[i], self.warm_within + ENTRY_STEP_S) // ENTRY_STEP_S * ENTRY_STEP_S
         return min(1.0, self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.warm_within)
 
+    def certain_capacity(self, i: int) -> float:
+        """The share of its usual capacity that a cold server has by its age and its answers, cautiously."""
+        baselines = [baseline[i] for baseline in self.baseline if baseline[i]]
+        usual_latency = min([self.lowest_latency, *baselines])
+        return certain_capacity(self.warmth(i), self.cold_sample[i], usual_latency)
+
     def recent_slowness(self, i: int) -> float:
         """The highest latency over its baseline that a zone observes of a server; 0 without a recent view."""
         recent = (view[i] for view in self.view if view[i][0] > self.now - VIEW_WINDOW_S)
@@ -758,7 +771,7 @@
                 if warmth < 1:
                     weights[i] = min(weights[i], self.listed_weight[i] * warmth)
                     bearable = (
-                        warmth
+                        self.certain_capacity(i)
                         * self.slow_start_limit
                         * answerable_share
                         * self.listed_weight[i]
