--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -136,6 +136,7 @@
         reported_fields = facts.load_fields if facts.load_reports_come == "inline" else ()
         self.utilisation_index = reported_fields.index("utilisation") if "utilisation" in reported_fields else None
         self.control_interval = facts.report_period * ceil(1 + facts.worst_transit / facts.report_period)
+        self.standing_lines = facts.standing_lines
         self.max_part_lines = STANDING_TABLES_PER_PART * max(1, facts.standing_lines)
         # The share of the servers that each proxy may hold lines to.
         self.connectable_share = CONNECTION_SHARE * (facts.least_connections or 0.0) / max(1, facts.proxies)
--- a/driftshed/node/drain_monitor.py
+++ b/driftshed/node/drain_monitor.py
@@ -40,6 +40,7 @@
         """No server has left."""
         self.left_at: dict[face.Server, float] = {}  # the longest gone first
         self.holds: dict[int, dict[face.Server, Hold]] = {}  # by proxy
+        self.longest_to_order = 0.0  # seconds of a hold until the order that ends it was given
         self.round = 0
         self.round_of_mark: dict[int, int] = {}
 
@@ -142,6 +143,7 @@
             hold = self.holds[proxy].get(server)
             if hold is not None and hold.round is None:
                 self.holds[proxy][server] = hold._replace(round=self.round, ordered_at=now)
+                self.longest_to_order = max(self.longest_to_order, now - hold.since)
 
     def _order_table(self, now: float, brain: Brain, order: face.UseTable) -> None:
         for server in list(self.holds.get(order.proxy, ())):
--- a/driftshed/node/rule_margins.py
+++ b/driftshed/node/rule_margins.py
@@ -35,10 +35,11 @@
     """The worst case of each rule since the start.
 
     `drain`: seconds from a server's leaving, or a proxy's joining, until it has answered the order to let go of the
-    server; a proxy that never answers is not counted, since its stream may have ended. `cold`: the load
-    that the proxies of this supervisor bring to a cold server by the orders in force, as a multiple of what it can do
-    by its warmth and by reports. `table`: seconds that a joined proxy has waited for its table. `lines`: most lines
-    in the channel. `messages`: most messages to one proxy within the span of the cap.
+    server; a proxy that never answers is not counted, since its stream may have ended. Beside it, seconds until that
+    order. `cold`: the load that the proxies of this supervisor bring to a cold server by the orders in force, and
+    those that wait for a table by what they may hold, as a multiple of what it can do by its warmth and by reports.
+    Beside it, the same by its warmth alone. `table`: seconds that a joined proxy has waited for its table. `lines`:
+    most lines in the channel. `messages`: most messages to one proxy within the span of the cap.
     """
 
     def __init__(self, facts: face.StartFacts, started_at: float) -> None:
@@ -53,6 +54,7 @@
             "messages": float(facts.message_cap) or float("inf"),
         }
         self.worst = dict.fromkeys(self.allowed, Worst())
+        self.heaviest_by_warmth = 0.0
         self.logged = dict.fromkeys(self.allowed, 0.0)  # the value of the last line about each rule
 
     def turn(self, now: float, brain: Brain, events: list, orders: list) -> list[dict]:
@@ -69,6 +71,7 @@
             lines.append(self._observe(now, "table", now - since, None, proxy))
         load = heaviest_cold_load(brain)
         if load is not None:
+            self.heaviest_by_warmth = max(self.heaviest_by_warmth, load.multiple / load.slowness)
             lines.append(self._observe(now, "cold", load.multiple, load.server, None, **load.details()))
         sent = ((brain.messages_sent(proxy), proxy) for proxy in brain.message_times)
         count, proxy = max(sent, default=(0, None))
@@ -76,8 +79,12 @@
         return [line for line in lines if line]
 
     def fields(self) -> dict[str, list]:
-        """The worst case of each rule as the log has it: value, server, proxy, seconds since the start."""
-        return {rule: worst.fields() for rule, worst in self.worst.items()}
+        """The worst case of each rule as the log has it: value, server, proxy, seconds since the start. For drains and
+        cold servers the value beside it comes second."""
+        rows = {rule: worst.fields() for rule, worst in self.worst.items()}
+        rows["drain"].insert(1, round(self.drains.longest_to_order, 2))
+        rows["cold"].insert(1, round(self.heaviest_by_warmth, 2))
+        return rows
 
     def open_drain(self, now: float) -> list:
         """The longest drain that lasts, as the log has it: seconds, server, proxy."""
@@ -133,14 +140,20 @@
 def heaviest_cold_load(brain: Brain) -> ColdLoad | None:
     """The highest load of a cold server by the orders in force; None without a cold server that has a line.
 
+    A proxy that waits for its table may hold a cold server with the full weight of another supervisor's table, or of
+    its standing one; levels cut what the others bring.
+
     It is what all servers would answer of the demand per weight, if each were as loaded as it is: with the demand of
     all proxies at the weight of all warm servers, a server that gets its part by weight has 1 by its warmth.
     """
     weight, rate = weight_by_part(brain), Counter()
     for proxy, part in brain.held_part.items():
         rate[part] += brain.rate.get(proxy, 0.0)
-    total_rate, full_weight = sum(rate.values()), brain.full_weight()
-    answerable_rate = min(total_rate * brain.answerable_share, brain.answerable_rate)
+    waiting_rate = sum(brain.rate[proxy] for proxy in brain.waiting_since) / max(1, brain.standing_lines)
+    total_rate, full_weight = sum(brain.rate.values()), brain.full_weight()
+    # Before reports have come, the decisions assume the worst, which would tell nothing here.
+    has_reports = brain.best_unit_rate > 0
+    answerable_rate = min(total_rate * brain.answerable_share, brain.answerable_rate) if has_reports else total_rate
     loads = []
     for i, part in enumerate(brain.part):
         if not brain.weight_in_force(i) or brain.state[i] != face.READY or brain.is_warm(i) or not answerable_rate:
@@ -149,6 +162,15 @@
         age = brain.now - brain.started[i]
         slowness = max(1.0, brain.recent_slowness(i) * brain.warmth(i))
         usual_rate = answerable_rate * brain.listed_weight[i] * brain.factor[i] / full_weight
-        multiple = rate[part] * share * slowness / (usual_rate * brain.warmth(i))
+        brought = rate[part] * share * admitted_share(brain, part) + waiting_rate
+        multiple = brought * slowness / (usual_rate * brain.warmth(i))
         loads.append(ColdLoad(brain.server_ids[i], multiple, age, share, slowness))
     return max(loads, key=lambda load: load.multiple, default=None)
+
+
+def admitted_share(brain: Brain, part: int) -> float:
+    """The largest share of what comes to a part that its levels admit of any operation."""
+    if brain.level_form != "share":
+        return 1.0
+    levels = [level for (each, _), (level, _) in brain.current_levels.items() if each == part]
+    return max(levels, default=1.0)
--- a/driftshed/standins/platform/virtual.py
+++ b/driftshed/standins/platform/virtual.py
@@ -11,6 +11,7 @@
 from driftshed.lab.virtual import VirtualLoop
 from driftshed.net.loop import Timers
 from driftshed.node.config import SupervisorOptions
+from driftshed.node.rule_margins import RuleMargins
 from driftshed.node.service import SupervisorHost
 from driftshed.standins.platform.call_faults import CallFault
 from driftshed.standins.platform.fleet import Fleet
@@ -31,6 +32,8 @@
         """Starts with the list of its agent."""
         self.timers, self.options, self.seat, self.unix_offset = timers, options, seat, unix_offset
         self.host: SupervisorHost | None = None
+        self.margins: list[RuleMargins] = []  # of each start
+        self.longest_open_drain = 0.0  # seconds for which a drain had lasted at an end
         self.stalled_until = self.reconnected_at = 0.0
         self.revive()
 
@@ -45,6 +48,7 @@
         for proxy in self.seat.relay.proxies.values():
             self.notify("SUBSCRIBE", self.seat.relay.subscription(proxy))
         self.due_at = float("inf")
+        self.margins.append(self.host.margins)
         self._watch_margins(self.host)
         self._turn()
 
@@ -55,8 +59,14 @@
 
     def kill(self) -> None:
         """Ends at once."""
+        self.note_open_drain()
         self.host = None
 
+    def note_open_drain(self) -> None:
+        """Notes for how long the longest drain has lasted that has not ended."""
+        if self.host is not None and (row := self.host.margins.open_drain(self.timers.clock())):
+            self.longest_open_drain = max(self.longest_open_drain, row[0])
+
     def terminate(self) -> None:
         """Ends at once."""
         self.kill()
--- a/tests/test_rule_margins.py
+++ b/tests/test_rule_margins.py
@@ -4,16 +4,19 @@
 import time
 
 import msgspec
+import pytest
 
 from driftshed.figures import server_label
 from driftshed.lab.virtual import Seat, VirtualLoop
 from driftshed.node.rule_margins import Worst
 from driftshed.standins.platform.fleet import PROXIES, SUPERVISORS, Fleet
+from driftshed.standins.platform.plans import DRAWS
 from driftshed.standins.platform.settings import fleet_options
-from driftshed.standins.platform.virtual import VirtualSupervisor
+from driftshed.standins.platform.virtual import VirtualSupervisor, play
 from tests.platforms import chunk, roster_update, server_entry
 
 KEPT_CHARACTERS = 300  # of a log line, in the reports of the users
+PLAY_S = 56.0
 
 
 def test_the_worst_case_of_each_rule_is_told_within_what_reports_keep_of_a_line(platform):
@@ -73,6 +76,29 @@
     assert max(each.worst["cold"].value for each in margins) > 0.1
 
 
+@pytest.mark.parametrize(("kind", "seed"), [("usual", 201), ("slow", 205), ("troubled", 201), ("flood", 201)])
+def test_the_log_neither_misses_what_the_judge_sees_nor_tells_a_break_that_it_does_not_see(kind, seed):
+    """Guards against a last line that can neither find a broken rule nor rule one out."""
+    plan = DRAWS[kind](seed)
+    fleet = play(fleet_options(SUPERVISORS, PROXIES, plan.figures), seed, PLAY_S, plan)
+    assert not fleet.breaks, fleet.breaks[:5]
+    ports = [seat.port for seat in fleet.seats]
+    for port in ports:
+        port.note_open_drain()
+    margins = [each for port in ports for each in port.margins]
+    answered = max([each.worst["drain"].value for each in margins] + [port.longest_open_drain for port in ports])
+    ordered = max(each.drains.longest_to_order for each in margins)
+    assert 0.3 < fleet.latest_send <= answered
+    assert ordered <= fleet.latest_send and ordered + fleet.facts.transit <= fleet.facts.drain_grace
+    by_reports, by_warmth = (
+        max(each.worst["cold"].value for each in margins),
+        max(each.heaviest_by_warmth for each in margins),
+    )
+    assert by_reports >= fleet.worst_expected.multiple
+    if kind != "flood":  # where hardly a server is warm, what the fleet can answer is estimated far too low
+        assert by_warmth <= fleet.facts.tip_multiple
+
+
 def test_servers_are_named_in_the_log_as_the_list_names_them():
     """Guards against ids in hex, which nobody finds in a list."""
     assert server_label(b"s-e71c0f12") == "s-e71c0f12"
