--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -84,6 +84,7 @@
 MIN_TRIES = 5  # with fewer tries in its window a zone has no view of a server
 BASELINE_TIME_CONSTANT_S = 2 * COMPLAINT_EXPIRY_S  # of the moving average that is a zone's baseline
 ORDINARY_SHARE = 1 / 2  # of the message cap and of the lines sent within a grace; the rest is reserved for urgent ones
+DRAINED_SHARE = 1 / 5  # of the servers of a part: those that a release takes at once
 STANDING_TABLES_PER_PART = 2  # most lines of a part, in lengths of a standing table
 MIN_PROXIES_PER_PART = 5
 # Of the connections that a server accepts: the proxies that may hold a line to it. Servers slow down as their
@@ -1003,8 +1004,9 @@
     def _beside_drains(self, lines: float) -> float:
         """Of the lines that may be under way, those that other orders than drains may take.
 
-        Guards against drains that come late since other lines are ahead of them: a drain may concern every proxy."""
-        drain_lines = len(self.proxy_zone) * (1 + self.message_overhead)
+        Guards against drains that come late since other lines are ahead of them: one may concern every proxy."""
+        leaving = max(1.0, DRAINED_SHARE * sum(map(bool, self.line_weight)) / max(1, len(self.part_zone)))
+        drain_lines = len(self.proxy_zone) * (leaving + self.message_overhead)
         return max(lines * ORDINARY_SHARE, lines - drain_lines)
 
     def _give_up_lost_answers(self) -> None:
@@ -1157,10 +1159,14 @@
             lines[part] += bool(line) * (1 + withdrawn)
         return lines
 
-    def _table_lines_of_waiting(self) -> int:
-        """The lines of the messages that assign their parts to all proxies that wait for them."""
-        table_lines = self._table_lines()
-        return sum(table_lines[self.target_part.get(proxy, 0)] for proxy in self.waiting_since)
+    def _tables_come_first(self, withdrawal_lines: float, messages: dict) -> bool:
+        """Whether the tables of the proxies that wait for them are in time, and cost no more than withdrawals for them,
+        which only put the tables off."""
+        lines_by_part = self._table_lines()
+        table_lines = sum(lines_by_part[self.target_part.get(proxy, 0)] for proxy in self.waiting_since)
+        sent_at = self.now + (self.backlog_lines(messages) + table_lines) / self.lines_per_second
+        due_at = next(iter(self.waiting_since.values())) + self.drain_grace - self.worst_transit
+        return table_lines <= withdrawal_lines and sent_at <= due_at
 
     def _choose_overdue_proxy(self) -> int | None:
         """The proxy that may get its table beyond the reserve now, if any.
@@ -1196,9 +1202,9 @@
         unwritten = [proxy for proxy in costs if proxy not in messages]
         used = self.waiting_lines() + sum(messages.values())
         cost = sum(costs.values()) + len(unwritten) * self.message_overhead
-        # Their tables come as soon where they cost the channel no more.
-        fits = used + cost <= self.queue_cap and cost < self._table_lines_of_waiting()
-        if not untold or not fits or not all(self._may_message(proxy, 1.0) for proxy in unwritten):
+        if not untold or used + cost > self.queue_cap or self._tables_come_first(cost, messages):
+            return
+        if not all(self._may_message(proxy, 1.0) for proxy in unwritten):
             return
         for proxy, cost in costs.items():
             messages[proxy] = messages.get(proxy, self.message_overhead) + cost
