--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -74,3 +74,14 @@
     assert not real_play.failures
     broken = [each for each in fleet.breaks if each.rule != "cut"]  # which a late process would show as well
     assert not broken, (broken[:5], real_play.longest_delay)
+
+
+def test_three_processes_keep_the_rules_through_a_flood_of_joins_at_a_reload(tmp_path):
+    """Guards against proxies that join again around a reload and wait for a table until they leave."""
+    plan = draw_flood_plan(33)
+    real_play = Play(33, tmp_path, plan)
+    fleet = real_play.run(PROCESS_PLAY_S)
+    assert not real_play.failures
+    broken = [each for each in fleet.breaks if each.rule != "cut"]  # which a late process would show as well
+    assert not broken, (broken[:5], real_play.longest_delay)
+    assert fleet.longest_unbound[0] <= fleet.facts.bare_for, (fleet.longest_unbound, real_play.longest_delay)
