A table that is longer than the cap on lines is not sent into an empty channel

The bound by the grace let one table go out however long it is where nothing waits; the cap on lines held no more for it. A part whose table alone is longer than the cap (2 proxies, 200 servers, a cap of 150 lines) broke the rule on the channel; before, and now again, it is not sent. Failed before: test_a_table_above_the_cap_is_not_sent.

--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -1139,7 +1139,8 @@
             if proxy == overdue_proxy:
                 limit = self.queue_cap
             is_first = not backlog  # of an empty channel, one goes out however long it is
-            if (waiting_lines and waiting_lines + size > limit) or not self._may_message(proxy, share):
+            fits = waiting_lines + size <= (limit if waiting_lines else self.queue_cap)
+            if not fits or not self._may_message(proxy, share):
                 continue
             if backlog + size > max_backlog and not is_first:
                 continue
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -139,6 +139,12 @@
     assert set(world.brain.held_part) == {0, 1}
 
 
+def test_a_table_above_the_cap_is_not_sent():
+    world = SimulatedFleet(200, 2, "domain.queueCap=150\n")
+    world.run(3)
+    assert not world.brain.held_part and not world.queue
+
+
 def test_a_withdrawal_counts_where_tables_of_others_may_hold_the_server():
     """Withdrawals also reach joined proxies that wait for their table and must be counted there: 4,409 lines waited
     where the cap was 4,400."""
