--- a/driftshed/brain.py
+++ b/driftshed/brain.py
@@ -1132,7 +1132,8 @@
                 continue
             size = table_lines[part]
             share = ORDINARY_SHARE if is_move else 1.0
-            limit = self.queue_cap * share if is_move else self._beside_drains(self.queue_cap)
+            is_without_server = held is not None and not self.part_weight[held]
+            limit = self.queue_cap * (1.0 if is_without_server else ORDINARY_SHARE)
             max_backlog = ordinary_lines if is_move else urgent_lines
             # Guards against a channel that seems full of messages to proxies that have fallen silent: it is in order,
             # so the answer to one table shows that all before it have left.
